--- /dev/null
+++ b/cmake/GooseberryTargets.cmake
@@ -0,0 +1,53 @@
+# Rules that every library, daemon and test of this project shares.
+
+add_library(gl_warnings INTERFACE)
+target_compile_options(gl_warnings INTERFACE -Wall -Wextra -Wpedantic -Wshadow -Wconversion
+                                             -Wnon-virtual-dtor -Werror)
+# GCC 12 reports false positives of these two in optimised and sanitised builds of libstdc++.
+target_compile_options(gl_warnings INTERFACE -Wno-maybe-uninitialized -Wno-restrict)
+
+add_compile_definitions(BOOST_ASIO_SEPARATE_COMPILATION BOOST_BEAST_SEPARATE_COMPILATION
+                        BOOST_ASIO_NO_DEPRECATED)
+
+# gl_library(NAME DEPENDS lib... LINK external... [NO_TEST])
+# Builds libs/NAME/src/*.cpp as gl_NAME, and libs/NAME/test/*.cpp as gl_NAME_test.
+function(gl_library name)
+  cmake_parse_arguments(ARG "" "" "DEPENDS;LINK" ${ARGN})
+  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/${name}/src/*.cpp)
+  file(GLOB generated CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/${name}/gen-cpp/*.cpp)
+  if(NOT sources)
+    message(FATAL_ERROR "library ${name} has no sources")
+  endif()
+  add_library(gl_${name} STATIC ${sources} ${generated})
+  if(generated)
+    set_source_files_properties(${generated} PROPERTIES COMPILE_OPTIONS "-w")
+  endif()
+  target_include_directories(gl_${name} PUBLIC ${CMAKE_CURRENT_SOURCE_DIR}/${name}/include)
+  target_include_directories(gl_${name} PRIVATE ${CMAKE_CURRENT_SOURCE_DIR}/${name}/src)
+  target_include_directories(gl_${name} SYSTEM PRIVATE ${CMAKE_CURRENT_SOURCE_DIR}/${name}/gen-cpp)
+  list(TRANSFORM ARG_DEPENDS PREPEND gl_ OUTPUT_VARIABLE depends)
+  target_link_libraries(gl_${name} PUBLIC ${depends} ${ARG_LINK} Threads::Threads
+                        PRIVATE gl_warnings)
+  file(GLOB tests CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/${name}/test/*.cpp)
+  if(tests)
+    add_executable(gl_${name}_test ${tests})
+    target_compile_definitions(gl_${name}_test PRIVATE BOOST_TEST_DYN_LINK BOOST_TEST_MODULE=${name}
+      GL_SOURCE_DIR="${PROJECT_SOURCE_DIR}" GL_BINARY_DIR="${PROJECT_BINARY_DIR}")
+    target_include_directories(gl_${name}_test PRIVATE ${CMAKE_CURRENT_SOURCE_DIR}/${name}/src)
+    target_link_libraries(gl_${name}_test PRIVATE gl_${name} gl_warnings
+                          boost_unit_test_framework rapidcheck)
+    add_test(NAME ${name} COMMAND gl_${name}_test)
+  endif()
+endfunction()
+
+# gl_app(NAME DIR DEPENDS lib... LINK external...)
+# Builds apps/DIR/src/*.cpp as the program NAME, and apps/DIR/test/*.cpp as its test.
+function(gl_app name)
+  cmake_parse_arguments(ARG "" "" "DEPENDS;LINK" ${ARGN})
+  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/${name}/src/*.cpp)
+  list(TRANSFORM ARG_DEPENDS PREPEND gl_ OUTPUT_VARIABLE depends)
+  add_executable(${name} ${sources})
+  target_include_directories(${name} PRIVATE ${CMAKE_CURRENT_SOURCE_DIR}/${name}/src)
+  target_link_libraries(${name} PRIVATE ${depends} ${ARG_LINK} gl_warnings)
+  target_compile_definitions(${name} PRIVATE GL_VERSION="${PROJECT_VERSION}")
+endfunction()
--- /dev/null
+++ b/libs/base/include/base/clock.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <chrono>
+#include <condition_variable>
+#include <mutex>
+
+namespace gooseberry {
+
+using Duration = std::chrono::steady_clock::duration;
+
+/** Time for deadlines and leases. It never goes back. */
+using SteadyTime = std::chrono::steady_clock::time_point;
+
+/** Time for display and logs only. Operators may set it back. */
+using WallTime = std::chrono::system_clock::time_point;
+
+/** The source of time for everything that holds a lease or a deadline. */
+class Clock
+{
+public:
+    virtual ~Clock() = default;
+
+    virtual SteadyTime steadyNow() const = 0;
+    virtual WallTime wallNow() const = 0;
+};
+
+/** The clock of the machine. */
+class SystemClock : public Clock
+{
+public:
+    SteadyTime steadyNow() const override;
+    WallTime wallNow() const override;
+};
+
+/**
+ * A clock that stands still until it is advanced, for tests and recorded sessions. It starts at
+ * the epoch of both clocks. Safe for use by several threads.
+ */
+class ManualClock : public Clock
+{
+public:
+    SteadyTime steadyNow() const override;
+    WallTime wallNow() const override;
+
+    /** Moves both times forward. A negative step is ignored, since steady time never goes back. */
+    void advance(Duration step);
+
+private:
+    mutable std::mutex mutex;
+    Duration elapsed{};
+};
+
+} // namespace gooseberry
