Run a job from declaration to answer on one instance

The path goes through world objects in shards (fleet, team ledger, job table), policy as free functions over plain structs, a scheduler that reserves, a command log whose order is authoritative, the coordinator, and an HTTP and JSON front end on Beast. A stub worker announces itself, keeps its own lease and delivers answers with a digest. Nothing survives a restart yet: the log applies commands in memory.

--- a/libs/base/include/base/clock.h
+++ b/libs/base/include/base/clock.h
@@ -14,6 +14,21 @@
 /** Time for display and logs only. Operators may set it back. */
 using WallTime = std::chrono::system_clock::time_point;
 
+/**
+ * The time base of the replicated state: milliseconds since the cell was created. The leader
+ * stamps every command with it, so all replicas see the same times. It never goes back, also not
+ * across a change of leader, and stands still while no leader exists.
+ */
+struct CellClock
+{
+    using duration = std::chrono::milliseconds;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<CellClock>;
+    static constexpr bool is_steady = true; // NOLINT(readability-identifier-naming)
+};
+using CellTime = CellClock::time_point;
+
 /** The source of time for everything that holds a lease or a deadline. */
 class Clock
 {
--- a/libs/base/include/base/identifiers.h
+++ b/libs/base/include/base/identifiers.h
@@ -18,8 +18,8 @@
 {
     Value value{};
 
-    StrongId() = default;
-    explicit StrongId(Value initial)
+    constexpr StrongId() = default;
+    constexpr explicit StrongId(Value initial)
         : value(std::move(initial))
     {
     }
@@ -58,9 +58,21 @@
     auto operator<=>(const TaskId &other) const = default;
 };
 
+/** One attempt to run a task. A task has at most one running attempt at a time. */
+struct AttemptId
+{
+    TaskId task;
+    Attempt attempt;
+
+    auto operator<=>(const AttemptId &other) const = default;
+};
+
 /** Returns "job.index", the form that logs, routes and answers use. */
 std::string toString(const TaskId &task);
 
+/** Returns "job.index.attempt". */
+std::string toString(const AttemptId &attempt);
+
 } // namespace gooseberry
 
 template<typename Tag, typename Value>
--- /dev/null
+++ b/libs/cell/include/cell/cell_state.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include <atomic>
+
+#include <base/base.h>
+#include <cell/command.h>
+#include <cell/config_table.h>
+#include <cell/job_table.h>
+#include <fleet/fleet.h>
+
+namespace gooseberry {
+
+/** A plain copy of the whole replicated state, for snapshots. */
+struct CellImage
+{
+    CellTime time;
+    JobId lastJob;
+    ConfigImage config;
+    std::vector<InstanceSpec> instances;
+    std::set<InstanceId> departing;
+    std::vector<JobRecord> jobs;
+};
+
+/**
+ * The replicated state of the cell. Commands are applied by one thread at a time, in log order;
+ * queries come from any thread and lock only the shard they touch. Applying is deterministic: it
+ * depends on earlier commands alone, never on a clock or on what the leader has reserved.
+ */
+class CellState
+{
+public:
+    /** Applies one command. A refused command changes nothing. */
+    ApplyOutcome apply(const StampedCommand &stamped);
+
+    /** Returns the time of the latest command. */
+    CellTime time() const;
+
+    const ConfigTable &config() const
+    {
+        return this->configTable;
+    }
+    JobTable &jobs()
+    {
+        return this->jobTable;
+    }
+    const RequestTable &requests() const
+    {
+        return this->requestTable;
+    }
+    Fleet &fleet()
+    {
+        return this->fleetTable;
+    }
+    TeamLedger &ledger()
+    {
+        return this->teamLedger;
+    }
+    /** Returns the memory that kept answers take. */
+    Bytes answerBytes() const;
+
+    /** Copies the state. Must not run while a command is applied. */
+    CellImage image() const;
+    /** Replaces the state. Must not run while a command is applied. */
+    void restore(const CellImage &image);
+
+private:
+    ApplyOutcome run(const ApplyConfig &command, CellTime at);
+    ApplyOutcome run(const GrantKey &command, CellTime at);
+    ApplyOutcome run(const WithdrawKey &command, CellTime at);
+    ApplyOutcome run(const SetDomain &command, CellTime at);
+    ApplyOutcome run(const Submit &command, CellTime at);
+    ApplyOutcome run(const Start &command, CellTime at);
+    ApplyOutcome run(const Finish &command, CellTime at);
+    ApplyOutcome run(const Release &command, CellTime at);
+    ApplyOutcome run(const Cancel &command, CellTime at);
+    ApplyOutcome run(const Announce &command, CellTime at);
+    ApplyOutcome run(const Depart &command, CellTime at);
+    ApplyOutcome run(const Expire &command, CellTime at);
+
+    Status startOne(JobRecord &job, const Placement &placement, const Limit &limit, CellTime at);
+    Status checkStart(const JobRecord &job, const Placement &placement) const;
+    void undoStart(JobRecord &job, const Placement &placement);
+    /** Gives back what a running attempt held and moves its task to the next state. */
+    void endAttempt(JobRecord &job, std::uint32_t index, TaskState next, CellTime at);
+    void removeIfDeparted(const InstanceId &id);
+
+    ConfigTable configTable;
+    JobTable jobTable;
+    RequestTable requestTable;
+    Fleet fleetTable;
+    TeamLedger teamLedger;
+    JobId lastJob;
+    std::atomic<CellTime> latestTime{CellTime{}};
+    std::atomic<std::int64_t> keptAnswerBytes{0};
+};
+
+} // namespace gooseberry
--- /dev/null
+++ b/libs/cell/include/cell/command.h
@@ -0,0 +1,158 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include <base/base.h>
+#include <contract/contract.h>
+#include <fleet/fleet.h>
+
+namespace gooseberry {
+
+/** Puts a configuration in force if version is the one after the current version. */
+struct ApplyConfig
+{
+    ConfigVersion version;
+    CellConfig config;
+
+    bool operator==(const ApplyConfig &other) const = default;
+};
+
+struct GrantKey
+{
+    Key key;
+
+    bool operator==(const GrantKey &other) const = default;
+};
+
+struct WithdrawKey
+{
+    KeyId id;
+
+    bool operator==(const WithdrawKey &other) const = default;
+};
+
+/** Takes a failure domain out of service or brings it back. */
+struct SetDomain
+{
+    FailureDomainId domain;
+    bool inService = true;
+
+    bool operator==(const SetDomain &other) const = default;
+};
+
+/** Accepts a job. A second one with the same team and request id yields the first one's job. */
+struct Submit
+{
+    RequestId request;
+    TeamId team;
+    JobSpec spec;
+
+    bool operator==(const Submit &other) const = default;
+};
+
+/** One attempt that shall run on one instance. */
+struct Placement
+{
+    AttemptId attempt;
+    InstanceId instance;
+
+    bool operator==(const Placement &other) const = default;
+};
+
+/** Starts attempts of one job. The worker is told only after this is committed. */
+struct Start
+{
+    JobId job;
+    bool allOrNone = false;
+    std::vector<Placement> placements;
+
+    bool operator==(const Start &other) const = default;
+};
+
+/** How an attempt ended, as its worker reports it. */
+enum class AttemptResult {
+    Succeeded,
+    Failed,
+    Stopped, ///< The worker ended it on request or because its lease ran out.
+};
+
+std::string toString(AttemptResult result);
+
+/** Ends an attempt with its worker's report. */
+struct Finish
+{
+    Placement placement;
+    AttemptResult result = AttemptResult::Succeeded;
+    std::string answer;
+
+    bool operator==(const Finish &other) const = default;
+};
+
+/** Ends an attempt without a report: its start was not sent, was refused, or its worker is gone. */
+struct Release
+{
+    Placement placement;
+    /** False only when it is certain that the attempt never ran. */
+    bool mayHaveRun = true;
+
+    bool operator==(const Release &other) const = default;
+};
+
+struct Cancel
+{
+    JobId job;
+
+    bool operator==(const Cancel &other) const = default;
+};
+
+/** Adds a worker instance or replaces what it declared. */
+struct Announce
+{
+    InstanceSpec instance;
+
+    bool operator==(const Announce &other) const = default;
+};
+
+struct Depart
+{
+    InstanceId instance;
+
+    bool operator==(const Depart &other) const = default;
+};
+
+/** Forgets jobs that ended at or before the given time, with their answers and request ids. */
+struct Expire
+{
+    CellTime endedBefore;
+
+    bool operator==(const Expire &other) const = default;
+};
+
+using Command = std::variant<ApplyConfig, GrantKey, WithdrawKey, SetDomain, Submit, Start, Finish,
+                             Release, Cancel, Announce, Depart, Expire>;
+
+/** A command with the time that the leader gave it. */
+struct StampedCommand
+{
+    CellTime at;
+    Command command;
+
+    bool operator==(const StampedCommand &other) const = default;
+};
+
+/** What became of one placement of a Start. */
+struct PlacementOutcome
+{
+    Placement placement;
+    Status status;
+};
+
+/** What a command yields besides the change of state. */
+using AppliedValue = std::variant<Done, JobId, ConfigVersion, std::vector<PlacementOutcome>>;
+using ApplyOutcome = Result<AppliedValue>;
+
+} // namespace gooseberry
--- /dev/null
+++ b/libs/cell/src/coordinator_workers.cpp
@@ -0,0 +1,290 @@
+#include <cell/coordinator.h>
+
+#include <algorithm>
+
+#include <spdlog/spdlog.h>
+
+namespace gooseberry {
+
+namespace {
+
+/**
+ * How many lease generations a start may lag behind before its worker refuses it. The worker's
+ * side of the rule is in docs/api.md; both must use the same number.
+ */
+constexpr std::uint64_t maxStartLag = 3;
+/** Generations after which an accepted start must appear in its worker's reports. */
+constexpr std::uint64_t acknowledgedLag = 2;
+
+Error unknownWorker(const InstanceId &worker)
+{
+    return Error{.code = ErrorCode::NotFound,
+                 .step = Step::Receive,
+                 .peer = worker.value,
+                 .message = "the worker must announce itself first",
+                 .outcome = Outcome::NotRun};
+}
+
+} // namespace
+
+void Coordinator::announce(const InstanceSpec &instance, const WorkerReport &report,
+                           const Reply<WorkerLease> &reply)
+{
+    if (Status status = this->checkLeading(Step::Receive); !ok(status)) {
+        reply(errorOf(status));
+        return;
+    }
+    this->log.propose(
+        Announce{.instance = instance},
+        [this, instance, report, reply](const ApplyOutcome &outcome) {
+            if (!ok(outcome)) {
+                reply(errorOf(outcome));
+                return;
+            }
+            std::vector<Placement> lost;
+            WorkerLease lease;
+            {
+                SessionShard &shard = this->sessionShard(instance.id);
+                const std::lock_guard lock(shard.mutex);
+                Session &session = shard.sessions[instance.id];
+                session.worker = instance.id;
+                if (session.incarnation != report.incarnation) {
+                    // Attempts of an earlier process are gone unless this one says that it holds
+                    // them.
+                    for (const auto &[attempt, sent] : session.starts) {
+                        if (std::find(report.held.begin(), report.held.end(), attempt)
+                            == report.held.end()) {
+                            lost.push_back(Placement{.attempt = attempt, .instance = instance.id});
+                        }
+                    }
+                    session.incarnation = report.incarnation;
+                }
+                lease = this->renew(session, report, lost);
+            }
+            spdlog::info("event=worker-announced worker={} domain={} address={} lost={}",
+                         instance.id.value, instance.domain.value,
+                         toString(instance.upstream.address), lost.size());
+            for (const Placement &placement : lost) {
+                this->release(placement, true, "worker restarted");
+            }
+            lease.stop = this->attemptsToStop(report);
+            reply(lease);
+        });
+}
+
+void Coordinator::heartbeat(const WorkerReport &report, const Reply<WorkerLease> &reply)
+{
+    if (Status status = this->checkLeading(Step::Receive); !ok(status)) {
+        reply(errorOf(status));
+        return;
+    }
+    std::vector<Placement> lost;
+    WorkerLease lease;
+    {
+        SessionShard &shard = this->sessionShard(report.worker);
+        const std::lock_guard lock(shard.mutex);
+        const auto found = shard.sessions.find(report.worker);
+        const auto instance = this->state.fleet().find(report.worker);
+        if (found == shard.sessions.end() || !instance
+            || instance->spec.upstream.incarnation != report.incarnation) {
+            reply(unknownWorker(report.worker));
+            return;
+        }
+        found->second.incarnation = report.incarnation;
+        lease = this->renew(found->second, report, lost);
+    }
+    for (const Placement &placement : lost) {
+        this->release(placement, true, "worker does not hold the attempt");
+    }
+    lease.stop = this->attemptsToStop(report);
+    reply(lease);
+}
+
+WorkerLease Coordinator::renew(Session &session, const WorkerReport &report,
+                               std::vector<Placement> &lost)
+{
+    const Term term = this->leadership().term;
+    session.lease = Lease{.holder = session.worker,
+                          .grantedAt = this->clock.steadyNow(),
+                          .length = this->settings.workerLease};
+    session.expired = false;
+    this->state.fleet().setReachable(session.worker, true);
+    if (report.seenTerm == term) {
+        for (auto it = session.starts.begin(); it != session.starts.end();) {
+            const bool held
+                = std::find(report.held.begin(), report.held.end(), it->first) != report.held.end();
+            if (!held && report.seenGeneration >= it->second.proofGeneration) {
+                lost.push_back(Placement{.attempt = it->first, .instance = session.worker});
+                it = session.starts.erase(it);
+            } else {
+                ++it;
+            }
+        }
+    }
+    ++session.generation;
+    return WorkerLease{.term = term,
+                       .generation = session.generation,
+                       .length = this->settings.workerLease,
+                       .stop = {}};
+}
+
+std::vector<AttemptId> Coordinator::attemptsToStop(const WorkerReport &report) const
+{
+    std::vector<AttemptId> stop;
+    for (const AttemptId &held : report.held) {
+        bool wanted = false;
+        if (const auto job = this->state.jobs().find(held.task.job)) {
+            const bool exists = held.task.index < job->tasks.size();
+            const TaskRecord task = exists ? job->tasks[held.task.index] : TaskRecord{};
+            wanted = task.state == TaskState::Running && task.attempt == held.attempt
+                && task.instance == report.worker && !job->cancelRequested;
+        }
+        if (!wanted) {
+            stop.push_back(held);
+        }
+    }
+    return stop;
+}
+
+void Coordinator::finish(const Placement &placement, AttemptResult result, std::string answer,
+                         const Reply<Done> &reply)
+{
+    if (Status status = this->checkLeading(Step::Answer); !ok(status)) {
+        reply(errorOf(status));
+        return;
+    }
+    Finish command{.placement = placement, .result = result, .answer = std::move(answer)};
+    this->log.propose(
+        std::move(command), [this, placement, result, reply](const ApplyOutcome &outcome) {
+            if (!ok(outcome)) {
+                reply(errorOf(outcome));
+                return;
+            }
+            spdlog::info("event=attempt-ended attempt={} worker={} result={}",
+                         toString(placement.attempt), placement.instance.value, toString(result));
+            this->afterEnd(placement);
+            reply(Done{});
+        });
+}
+
+void Coordinator::depart(const InstanceId &worker, const Reply<Done> &reply)
+{
+    if (Status status = this->checkLeading(Step::Receive); !ok(status)) {
+        reply(errorOf(status));
+        return;
+    }
+    this->log.propose(Depart{.instance = worker}, [reply, worker](const ApplyOutcome &outcome) {
+        if (!ok(outcome)) {
+            reply(errorOf(outcome));
+            return;
+        }
+        spdlog::info("event=worker-departing worker={}", worker.value);
+        reply(Done{});
+    });
+}
+
+void Coordinator::send(const Placement &placement)
+{
+    const auto instance = this->state.fleet().find(placement.instance);
+    const auto job = this->state.jobs().find(placement.attempt.task.job);
+    // The check is made at the moment of sending: this leader may have been paused since the
+    // commit, and operators may have taken the failure domain out.
+    const bool mayStart = instance && job && ok(this->checkLeading(Step::Send))
+        && !this->state.config().isOut(instance->spec.domain) && !job->cancelRequested;
+    if (!mayStart) {
+        this->release(placement, false, "start withheld");
+        return;
+    }
+    StartMessage message;
+    message.attempt = placement.attempt;
+    message.term = this->leadership().term;
+    message.spec = job->spec;
+    {
+        SessionShard &shard = this->sessionShard(placement.instance);
+        const std::lock_guard lock(shard.mutex);
+        Session &session = shard.sessions[placement.instance];
+        message.leaseGeneration = session.generation;
+        session.starts[placement.attempt] = SentStart{
+            .proofGeneration = session.generation + maxStartLag + 1, .acknowledged = false};
+    }
+    this->port.sendStart(
+        placement.instance, instance->spec.upstream.address, message,
+        [this, placement](const Status &status) { this->onSent(placement, status); });
+}
+
+void Coordinator::onSent(const Placement &placement, const Status &status)
+{
+    const bool refused = !ok(status) && errorOf(status).outcome == Outcome::NotRun;
+    {
+        SessionShard &shard = this->sessionShard(placement.instance);
+        const std::lock_guard lock(shard.mutex);
+        Session &session = shard.sessions[placement.instance];
+        const auto found = session.starts.find(placement.attempt);
+        if (found != session.starts.end() && refused) {
+            session.starts.erase(found);
+        } else if (found != session.starts.end() && ok(status)) {
+            found->second.acknowledged = true;
+            found->second.proofGeneration = session.generation + acknowledgedLag;
+        }
+    }
+    if (!ok(status)) {
+        spdlog::warn("event=start-not-acknowledged attempt={} worker={} {}",
+                     toString(placement.attempt), placement.instance.value,
+                     describe(errorOf(status)));
+    }
+    if (refused) {
+        this->release(placement, false, "start refused");
+    }
+}
+
+void Coordinator::release(const Placement &placement, bool mayHaveRun, const std::string &cause)
+{
+    spdlog::warn("decision=release attempt={} worker={} mayHaveRun={} cause=\"{}\"",
+                 toString(placement.attempt), placement.instance.value, mayHaveRun, cause);
+    this->log.propose(Release{.placement = placement, .mayHaveRun = mayHaveRun},
+                      [this, placement](const ApplyOutcome &outcome) {
+                          if (ok(outcome)) {
+                              this->afterEnd(placement);
+                          }
+                      });
+}
+
+void Coordinator::afterEnd(const Placement &placement)
+{
+    {
+        SessionShard &shard = this->sessionShard(placement.instance);
+        const std::lock_guard lock(shard.mutex);
+        if (const auto found = shard.sessions.find(placement.instance);
+            found != shard.sessions.end()) {
+            found->second.starts.erase(placement.attempt);
+        }
+    }
+    this->requeue(placement.attempt.task);
+    this->wakeWaiters(placement.attempt.task.job);
+}
+
+void Coordinator::expireLeases(SteadyTime now)
+{
+    std::vector<Placement> lost;
+    for (SessionShard &shard : this->sessionShards) {
+        const std::lock_guard lock(shard.mutex);
+        for (auto &[worker, session] : shard.sessions) {
+            if (session.expired || granterEnd(session.lease) > now) {
+                continue;
+            }
+            session.expired = true;
+            this->state.fleet().setReachable(worker, false);
+            spdlog::warn("event=worker-lease-expired worker={} attempts={}", worker.value,
+                         session.starts.size());
+            for (const auto &[attempt, sent] : session.starts) {
+                lost.push_back(Placement{.attempt = attempt, .instance = worker});
+            }
+            session.starts.clear();
+        }
+    }
+    for (const Placement &placement : lost) {
+        this->release(placement, true, "worker lease expired");
+    }
+}
+
+} // namespace gooseberry
--- /dev/null
+++ b/libs/contract/include/contract/key.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <string>
+
+#include <base/base.h>
+
+namespace gooseberry {
+
+/**
+ * What a team presents with its requests. Callers send "id.secret"; the system stores only the
+ * salt and the hash of salt and secret, both in lower-case hexadecimal.
+ */
+struct Key
+{
+    KeyId id;
+    TeamId team;
+    std::string salt;
+    std::string hash;
+
+    bool operator==(const Key &other) const = default;
+};
+
+/** A key together with its secret, which exists only at the moment of creation. */
+struct NewKey
+{
+    Key key;
+    std::string secret;
+};
+
+/** Creates a key with a random salt and a random secret of 256 bits. */
+NewKey createKey(const KeyId &id, const TeamId &team);
+
+/** Returns the hash to store for a salt and a secret. */
+std::string hashSecret(const std::string &salt, const std::string &secret);
+
+/** Returns whether the secret belongs to the key. Takes the same time for every wrong secret. */
+bool matchesSecret(const Key &key, const std::string &secret);
+
+/** The two parts of what a caller presents. */
+struct Credential
+{
+    KeyId id;
+    std::string secret;
+};
+
+/** Splits "id.secret". Fails with Unauthenticated and without repeating the secret. */
+Result<Credential> parseCredential(const std::string &text);
+
+} // namespace gooseberry
--- /dev/null
+++ b/libs/control/include/control/control.h
@@ -0,0 +1,7 @@
+#pragma once
+
+// One control instance: its settings and the parts that it is assembled from.
+
+#include <control/control_instance.h>
+#include <control/local_log.h>
+#include <control/settings.h>
--- /dev/null
+++ b/libs/fleet/src/fleet_table.cpp
@@ -0,0 +1,203 @@
+#include <fleet/fleet_table.h>
+
+namespace gooseberry {
+
+namespace {
+
+Error placeError(ErrorCode code, const InstanceId &id, const std::string &message)
+{
+    return Error{.code = code,
+                 .step = Step::Place,
+                 .peer = id.value,
+                 .message = message,
+                 .outcome = Outcome::NotRun};
+}
+
+Status checkFits(const Instance &instance, const std::optional<Resources> &total)
+{
+    if (!total) {
+        return placeError(ErrorCode::LimitExceeded, instance.spec.id, "the amount overflows");
+    }
+    if (const auto dimension = firstShortage(*total, instance.spec.capacity)) {
+        return placeError(ErrorCode::LimitExceeded, instance.spec.id,
+                          "not enough " + toString(*dimension));
+    }
+    return Done{};
+}
+
+bool offers(const Instance &instance, const std::string &service)
+{
+    return service.empty() || instance.spec.upstream.service == service;
+}
+
+} // namespace
+
+void Fleet::announce(const InstanceSpec &spec)
+{
+    Shard &shard = this->shardOf(spec.id);
+    const std::lock_guard lock(shard.mutex);
+    Instance &instance = shard.instances[spec.id];
+    instance.spec = spec;
+    instance.departing = false;
+    instance.reachable = true;
+}
+
+void Fleet::depart(const InstanceId &id)
+{
+    Shard &shard = this->shardOf(id);
+    const std::lock_guard lock(shard.mutex);
+    if (const auto found = shard.instances.find(id); found != shard.instances.end()) {
+        found->second.departing = true;
+    }
+}
+
+bool Fleet::remove(const InstanceId &id)
+{
+    Shard &shard = this->shardOf(id);
+    const std::lock_guard lock(shard.mutex);
+    const auto found = shard.instances.find(id);
+    if (found == shard.instances.end() || !(found->second.promised == Resources{})) {
+        return false;
+    }
+    shard.instances.erase(found);
+    return true;
+}
+
+void Fleet::setReachable(const InstanceId &id, bool reachable)
+{
+    Shard &shard = this->shardOf(id);
+    const std::lock_guard lock(shard.mutex);
+    if (const auto found = shard.instances.find(id); found != shard.instances.end()) {
+        found->second.reachable = reachable;
+    }
+}
+
+Status Fleet::reserve(const InstanceId &id, const Resources &amount)
+{
+    Shard &shard = this->shardOf(id);
+    const std::lock_guard lock(shard.mutex);
+    const auto found = shard.instances.find(id);
+    if (found == shard.instances.end()) {
+        return placeError(ErrorCode::NotFound, id, "the instance is not known");
+    }
+    Instance &instance = found->second;
+    if (instance.departing || !instance.reachable) {
+        return placeError(ErrorCode::Unavailable, id, "the instance takes no new work");
+    }
+    const auto reserved = add(instance.reserved, amount);
+    Status status
+        = checkFits(instance, reserved ? add(instance.promised, *reserved) : std::nullopt);
+    if (ok(status)) {
+        instance.reserved = *reserved;
+    }
+    return status;
+}
+
+void Fleet::releaseReservation(const InstanceId &id, const Resources &amount)
+{
+    Shard &shard = this->shardOf(id);
+    const std::lock_guard lock(shard.mutex);
+    if (const auto found = shard.instances.find(id); found != shard.instances.end()) {
+        Resources &reserved = found->second.reserved;
+        reserved = subtract(reserved, amount).value_or(Resources{});
+    }
+}
+
+Status Fleet::promise(const InstanceId &id, const Resources &amount)
+{
+    Shard &shard = this->shardOf(id);
+    const std::lock_guard lock(shard.mutex);
+    const auto found = shard.instances.find(id);
+    if (found == shard.instances.end()) {
+        return placeError(ErrorCode::NotFound, id, "the instance is not known");
+    }
+    Instance &instance = found->second;
+    if (instance.departing) {
+        return placeError(ErrorCode::Unavailable, id, "the instance is departing");
+    }
+    const auto promised = add(instance.promised, amount);
+    Status status = checkFits(instance, promised);
+    if (ok(status)) {
+        instance.promised = *promised;
+    }
+    return status;
+}
+
+void Fleet::giveBack(const InstanceId &id, const Resources &amount)
+{
+    Shard &shard = this->shardOf(id);
+    const std::lock_guard lock(shard.mutex);
+    if (const auto found = shard.instances.find(id); found != shard.instances.end()) {
+        Resources &promised = found->second.promised;
+        promised = subtract(promised, amount).value_or(Resources{});
+    }
+}
+
+std::optional<Instance> Fleet::find(const InstanceId &id) const
+{
+    const Shard &shard = this->shardOf(id);
+    const std::lock_guard lock(shard.mutex);
+    const auto found = shard.instances.find(id);
+    return found == shard.instances.end() ? std::nullopt : std::optional(found->second);
+}
+
+std::vector<Instance> Fleet::snapshot() const
+{
+    std::vector<Instance> all;
+    for (const Shard &shard : this->shards) {
+        const std::lock_guard lock(shard.mutex);
+        for (const auto &[id, instance] : shard.instances) {
+            all.push_back(instance);
+        }
+    }
+    return all;
+}
+
+bool Fleet::couldEverHold(const Resources &amount, const std::string &service) const
+{
+    for (const Shard &shard : this->shards) {
+        const std::lock_guard lock(shard.mutex);
+        for (const auto &[id, instance] : shard.instances) {
+            if (offers(instance, service) && !firstShortage(amount, instance.spec.capacity)) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+Resources Fleet::totalCapacity() const
+{
+    Resources total;
+    for (const Instance &instance : this->snapshot()) {
+        total = add(total, instance.spec.capacity).value_or(total);
+    }
+    return total;
+}
+
+void Fleet::restore(const Instance &instance)
+{
+    Shard &shard = this->shardOf(instance.spec.id);
+    const std::lock_guard lock(shard.mutex);
+    shard.instances[instance.spec.id] = instance;
+}
+
+void Fleet::clear()
+{
+    for (Shard &shard : this->shards) {
+        const std::lock_guard lock(shard.mutex);
+        shard.instances.clear();
+    }
+}
+
+Fleet::Shard &Fleet::shardOf(const InstanceId &id)
+{
+    return this->shards.at(std::hash<InstanceId>{}(id) % shardCount);
+}
+
+const Fleet::Shard &Fleet::shardOf(const InstanceId &id) const
+{
+    return this->shards.at(std::hash<InstanceId>{}(id) % shardCount);
+}
+
+} // namespace gooseberry
--- /dev/null
+++ b/libs/gateway/include/gateway/http_worker_port.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <chrono>
+
+#include <cell/cell.h>
+#include <link/link.h>
+
+namespace gooseberry {
+
+/** Sends starts to workers with POST /v1/tasks. */
+class HttpWorkerPort : public WorkerPort
+{
+public:
+    HttpWorkerPort(HttpClient &initialClient, std::chrono::milliseconds initialDeadline);
+
+    void sendStart(const InstanceId &worker, const Address &address, const StartMessage &message,
+                   Callback done) override;
+
+private:
+    HttpClient &client;
+    std::chrono::milliseconds deadline;
+};
+
+} // namespace gooseberry
--- /dev/null
+++ b/libs/gateway/src/http_worker_port.cpp
@@ -0,0 +1,53 @@
+#include <gateway/http_worker_port.h>
+
+#include <gateway/json_codec.h>
+
+namespace gooseberry {
+
+namespace {
+
+constexpr unsigned statusAccepted = 202;
+constexpr unsigned statusConflict = 409;
+constexpr unsigned statusUnavailable = 503;
+
+Status statusOf(const InstanceId &worker, const Result<HttpResponse> &result)
+{
+    if (!ok(result)) {
+        return errorOf(result);
+    }
+    const unsigned status = valueOf(result).status;
+    if (status == statusAccepted) {
+        return Done{};
+    }
+    // Only these two are the worker's promise that it did not start the attempt.
+    const bool refused = status == statusConflict || status == statusUnavailable;
+    return Error{.code = ErrorCode::Unavailable,
+                 .step = Step::Send,
+                 .peer = worker.value,
+                 .message = "the worker answered with status " + std::to_string(status),
+                 .outcome = refused ? Outcome::NotRun : Outcome::Unknown};
+}
+
+} // namespace
+
+HttpWorkerPort::HttpWorkerPort(HttpClient &initialClient, std::chrono::milliseconds initialDeadline)
+    : client(initialClient)
+    , deadline(initialDeadline)
+{
+}
+
+void HttpWorkerPort::sendStart(const InstanceId &worker, const Address &address,
+                               const StartMessage &message, Callback done)
+{
+    HttpRequest request;
+    request.method = "POST";
+    request.target = "/v1/tasks";
+    request.headers["content-type"] = "application/json";
+    request.body = writeStart(message);
+    this->client.send(address, request, this->deadline,
+                      [worker, done = std::move(done)](const Result<HttpResponse> &result) {
+                          done(statusOf(worker, result));
+                      });
+}
+
+} // namespace gooseberry
--- /dev/null
+++ b/libs/link/include/link/http_message.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <map>
+#include <string>
+
+#include <base/base.h>
+
+namespace gooseberry {
+
+struct HttpRequest
+{
+    std::string method;
+    /** Path and query as sent. */
+    std::string target;
+    /** Header names in lower case. */
+    std::map<std::string, std::string> headers;
+    std::string body;
+    /** The address of the other end. */
+    std::string peer;
+};
+
+struct HttpResponse
+{
+    unsigned status = 200;
+    std::map<std::string, std::string> headers;
+    std::string body;
+};
+
+/** Returns the header's value, or an empty string. The name is in lower case. */
+std::string header(const HttpRequest &request, const std::string &name);
+std::string header(const HttpResponse &response, const std::string &name);
+
+} // namespace gooseberry
--- /dev/null
+++ b/libs/link/src/executor_impl.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <thread>
+#include <vector>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <link/executor.h>
+
+namespace gooseberry {
+
+struct Executor::Impl
+{
+    boost::asio::io_context context;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> guard
+        = boost::asio::make_work_guard(this->context);
+    std::vector<std::thread> threads;
+};
+
+} // namespace gooseberry
--- /dev/null
+++ b/libs/policy/include/policy/admission.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <optional>
+
+#include <base/base.h>
+#include <contract/contract.h>
+#include <policy/reason.h>
+
+namespace gooseberry {
+
+/** What is known when a job arrives. */
+struct AdmissionInput
+{
+    /** The queue that the job names, or null when it does not exist. */
+    const Queue *queue = nullptr;
+    /** The limit of the queue's team. */
+    Limit limit;
+    /** The team whose valid key came with the request, or nothing without a key. */
+    std::optional<TeamId> caller;
+    std::uint32_t pendingTasks = 0;
+    bool couldEverFit = false;
+};
+
+/** Returns Done, or an error with outcome NotRun that names what stands in the way. */
+Status checkAdmission(const JobSpec &spec, const AdmissionInput &input);
+
+} // namespace gooseberry
--- /dev/null
+++ b/libs/quorum/include/quorum/replica.h
@@ -0,0 +1,117 @@
+#pragma once
+
+#include <chrono>
+#include <filesystem>
+#include <functional>
+#include <memory>
+#include <optional>
+
+#include <base/base.h>
+#include <quorum/messages.h>
+
+namespace gooseberry {
+
+/** Times and sizes of a replica. */
+struct ReplicaSettings
+{
+    InstanceId self;
+    /** Where the log lives; without one nothing survives and the replica must be alone. */
+    std::optional<std::filesystem::path> dataFolder;
+    /** The voters of a new cell. Used only with bootstrap and an empty data folder. */
+    Membership initialMembership;
+    /** Without it, an empty data folder waits to be added as a learner. */
+    bool bootstrap = false;
+    std::chrono::milliseconds heartbeatInterval{200};
+    std::chrono::milliseconds leaderLease{1000};
+    std::chrono::milliseconds minElectionTimeout{1000};
+    std::chrono::milliseconds maxElectionTimeout{2000};
+    /** A snapshot is taken and the log truncated when the log has grown by this. */
+    Bytes snapshotInterval{64LL * 1024 * 1024};
+    /** Seed of the election timeout's jitter. */
+    std::uint64_t seed = 0;
+};
+
+/** What the committed entries are applied to. All calls come from one thread of the replica. */
+class StateMachine
+{
+public:
+    virtual ~StateMachine() = default;
+
+    /** Applies a committed entry of kind Command. */
+    virtual void apply(const LogEntry &entry) = 0;
+    /** Returns the whole state as bytes. */
+    virtual std::string snapshot() = 0;
+    virtual Status restore(const std::string &bytes) = 0;
+    /** This replica leads; all committed entries of earlier terms have been applied. */
+    virtual void leadershipBegan(Term term) = 0;
+    virtual void leadershipEnded() = 0;
+};
+
+/** Carries messages to other replicas. Loss, delay and reordering are tolerated. */
+class ReplicaTransport
+{
+public:
+    virtual ~ReplicaTransport() = default;
+
+    virtual void send(const InstanceId &to, QuorumMessage message) = 0;
+};
+
+struct ReplicaStatus
+{
+    bool leads = false;
+    Term term;
+    std::optional<InstanceId> leader;
+    /** When the leader was last heard; on the leader itself, when a quorum last answered. */
+    SteadyTime leaderHeardAt;
+    LogIndex committed;
+    LogIndex applied;
+    Membership membership;
+    /** Set while the disk can't take another record. */
+    bool storageFull = false;
+};
+
+/** One replica of the log, with threads of its own that sleep while nothing happens. */
+class Replica
+{
+public:
+    Replica(ReplicaSettings settings, StateMachine &machine, ReplicaTransport &transport,
+            const Clock &clock);
+    ~Replica();
+
+    Replica(const Replica &) = delete;
+    Replica &operator=(const Replica &) = delete;
+
+    /** Recovers the log and starts. Fails with Corrupt, naming file and offset, or StorageFull. */
+    Status start();
+    /** Stops without handing over; see transferLeadership(). */
+    void stop();
+
+    /** Takes a message from another replica. */
+    void receive(const InstanceId &from, QuorumMessage message);
+
+    /**
+     * Appends a command. On success the state machine applies it; failed is not called then.
+     * Otherwise failed is called once: outcome NotRun when the command can't be committed any
+     * more, Unknown when a later leader may still commit it.
+     */
+    void propose(std::string payload, std::function<void(const Error &)> failed);
+
+    /** Returns whether this replica leads and its lease is running as of now. */
+    bool holdsLease() const;
+    ReplicaStatus status() const;
+
+    /** Adds a learner, or turns a learner that has caught up into a voter, or removes either. */
+    void addLearner(const InstanceId &id, std::function<void(const Status &)> done);
+    void promoteLearner(const InstanceId &id, std::function<void(const Status &)> done);
+    void remove(const InstanceId &id, std::function<void(const Status &)> done);
+
+    /** Hands leadership to the voter that has most of the log; done is called when it has begun. */
+    void transferLeadership(std::function<void(const Status &)> done);
+
+    struct Impl;
+
+private:
+    std::unique_ptr<Impl> impl;
+};
+
+} // namespace gooseberry
--- /dev/null
+++ b/libs/scheduler/include/scheduler/scheduler.h
@@ -0,0 +1,7 @@
+#pragma once
+
+// Decides which waiting tasks start where. The scheduler holds what waits; the fleet and the team
+// ledger hold what is in use. It reads no clock, opens no socket and writes no record: the caller
+// commits its decisions and tells it what became of them.
+
+#include <scheduler/scheduler_core.h>
