Wake the scheduler on work, look up single tasks, export metrics

Placement looked up whole jobs for every task, copying up to 10,000 task records each time; findTask copies one. Expired jobs were searched in every step; now once a second. Cancelled attempts are stopped at the worker at once instead of with its next report. The stepping thread is woken when work arrives instead of waiting for its interval. /metrics serves waiting time, decision time, packing, share distance and process cost in the Prometheus text format.

Builds and the existing tests pass; no measurement yet.

--- a/apps/stub_worker/src/stub_worker.cpp
+++ b/apps/stub_worker/src/stub_worker.cpp
@@ -85,8 +85,12 @@
 
 void StubWorker::handle(const HttpRequest &request, const HttpServer::Respond &respond)
 {
-    if (request.method == "POST" && request.target == "/v1/tasks") {
+    static const std::string tasks = "/v1/tasks";
+    if (request.method == "POST" && request.target == tasks) {
         this->handleStart(request, respond);
+    } else if (request.method == "DELETE" && request.target.starts_with(tasks + '/')) {
+        respond(jsonResponse(200, "{}"));
+        this->endAttempt(request.target.substr(tasks.size() + 1), "stopped", {});
     } else {
         respond(jsonResponse(404, "{}"));
     }
--- a/libs/cell/include/cell/cell.h
+++ b/libs/cell/include/cell/cell.h
@@ -9,5 +9,6 @@
 #include <cell/config_table.h>
 #include <cell/coordinator.h>
 #include <cell/job_table.h>
+#include <cell/observer.h>
 #include <cell/requests.h>
 #include <cell/worker_port.h>
--- a/libs/cell/include/cell/coordinator.h
+++ b/libs/cell/include/cell/coordinator.h
@@ -12,6 +12,7 @@
 #include <base/base.h>
 #include <cell/cell_state.h>
 #include <cell/command_log.h>
+#include <cell/observer.h>
 #include <cell/requests.h>
 #include <cell/worker_port.h>
 #include <scheduler/scheduler.h>
@@ -42,7 +43,8 @@
     using Reply = std::function<void(const Result<T> &)>;
 
     Coordinator(CellState &initialState, CommandLog &initialLog, WorkerPort &initialPort,
-                const Clock &initialClock, CoordinatorSettings initialSettings);
+                const Clock &initialClock, CoordinatorObserver &initialObserver,
+                CoordinatorSettings initialSettings);
 
     /**
      * Takes up the leader's duties. All commands of earlier terms are applied by then. Every
@@ -129,9 +131,10 @@
     Status admit(const Caller &caller, const JobSpec &spec, TeamId &team) const;
 
     void enqueuePending(const JobRecord &job);
-    void requeue(const TaskId &task);
+    void requeue(const TaskId &id);
     void dispatch(const StartGroup &group, const ApplyOutcome &outcome);
     void send(const Placement &placement);
+    void stopAttempts(const JobId &job);
     void onSent(const Placement &placement, const Status &status);
     void release(const Placement &placement, bool mayHaveRun, const std::string &cause);
     void afterEnd(const Placement &placement);
@@ -141,7 +144,7 @@
     std::vector<AttemptId> attemptsToStop(const WorkerReport &report) const;
     void expireLeases(SteadyTime now);
     void expireWaiters(SteadyTime now);
-    void expireJobs();
+    void expireJobs(SteadyTime now);
     void scheduleRound(SteadyTime now);
 
     SessionShard &sessionShard(const InstanceId &worker);
@@ -151,12 +154,14 @@
     CommandLog &log;
     WorkerPort &port;
     const Clock &clock;
+    CoordinatorObserver &observer;
     CoordinatorSettings settings;
     Scheduler scheduler;
 
     mutable std::mutex leadershipMutex;
     Leadership current;
     std::mutex roundMutex;
+    SteadyTime nextExpiry;
     std::array<SessionShard, shardCount> sessionShards;
     std::array<WaiterShard, shardCount> waiterShards;
 };
--- a/libs/cell/include/cell/job_table.h
+++ b/libs/cell/include/cell/job_table.h
@@ -59,6 +59,16 @@
     }
 };
 
+/** One task together with what its job says of it. */
+struct TaskView
+{
+    TaskRecord task;
+    TeamId team;
+    std::shared_ptr<const JobSpec> spec;
+    CellTime submittedAt;
+    bool cancelRequested = false;
+};
+
 /** Returns the state of a whole job: the worst of its tasks' states once all have ended. */
 TaskState summarise(const JobRecord &job);
 
@@ -81,9 +91,14 @@
     }
 
     void insert(JobRecord record);
+    /** Returns a copy of the job, with all its tasks. */
     std::optional<JobRecord> find(const JobId &id) const;
+    /** Returns a copy of one task, which is cheap for jobs of any size. */
+    std::optional<TaskView> findTask(const TaskId &id) const;
     /** Returns copies of all jobs; answers are shared, not copied. */
     std::vector<JobRecord> all() const;
+    /** Returns whether some job ended at or before the time. */
+    bool hasEnded(CellTime endedBefore) const;
     /** Removes jobs that ended at or before the time and returns them. */
     std::vector<JobRecord> removeEnded(CellTime endedBefore);
     void clear();
--- a/libs/cell/include/cell/requests.h
+++ b/libs/cell/include/cell/requests.h
@@ -59,6 +59,8 @@
     Resources running;
     Limit limit;
     double dominantShare = 0.0;
+    /** The customer's weight times the team's part of its customer's weights. */
+    double weight = 0.0;
 };
 
 } // namespace gooseberry
--- a/libs/cell/include/cell/worker_port.h
+++ b/libs/cell/include/cell/worker_port.h
@@ -34,6 +34,12 @@
     virtual void sendStart(const InstanceId &worker, const Address &address,
                            const StartMessage &message, Callback done)
         = 0;
+
+    /**
+     * Asks a worker to end an attempt. Best effort: the reply to the worker's next report repeats
+     * the wish, so a lost message only costs time.
+     */
+    virtual void sendStop(const Address &address, const AttemptId &attempt) = 0;
 };
 
 } // namespace gooseberry
--- a/libs/cell/src/coordinator.cpp
+++ b/libs/cell/src/coordinator.cpp
@@ -23,11 +23,13 @@
 } // namespace
 
 Coordinator::Coordinator(CellState &initialState, CommandLog &initialLog, WorkerPort &initialPort,
-                         const Clock &initialClock, CoordinatorSettings initialSettings)
+                         const Clock &initialClock, CoordinatorObserver &initialObserver,
+                         CoordinatorSettings initialSettings)
     : state(initialState)
     , log(initialLog)
     , port(initialPort)
     , clock(initialClock)
+    , observer(initialObserver)
     , settings(initialSettings)
     , scheduler(initialState.fleet(), initialState.ledger())
 {
@@ -114,6 +116,7 @@
         spdlog::info("decision=admission request={} queue={} accepted=false {}",
                      request.caller.request.value, request.spec.queue.value,
                      describe(errorOf(status)));
+        this->observer.requestRefused(errorOf(status).code);
         reply(errorOf(status));
         return;
     }
@@ -181,6 +184,7 @@
             return;
         }
         this->scheduler.removeJob(id);
+        this->stopAttempts(id);
         this->wakeWaiters(id);
         reply(Done{});
     });
@@ -253,12 +257,18 @@
     const Resources capacity = this->state.fleet().totalCapacity();
     std::vector<TeamOverview> overview;
     for (const Customer &customer : config->customers) {
+        double weights = 0.0;
+        for (const Team &team : customer.teams) {
+            weights += team.share.weight;
+        }
         for (const Team &team : customer.teams) {
             const Resources running = this->state.ledger().usage(team.id).running;
-            overview.push_back(TeamOverview{.team = team.id,
-                                            .running = running,
-                                            .limit = team.limit,
-                                            .dominantShare = dominantShare(running, capacity)});
+            overview.push_back(
+                TeamOverview{.team = team.id,
+                             .running = running,
+                             .limit = team.limit,
+                             .dominantShare = dominantShare(running, capacity),
+                             .weight = customer.share.weight * team.share.weight / weights});
         }
     }
     return overview;
--- a/libs/cell/src/coordinator_rounds.cpp
+++ b/libs/cell/src/coordinator_rounds.cpp
@@ -6,13 +6,8 @@
 
 namespace {
 
-WaitingJob waitingJob(const JobRecord &job)
-{
-    return WaitingJob{.id = job.id,
-                      .jobClass = job.spec->jobClass,
-                      .team = job.team,
-                      .submittedAt = job.submittedAt};
-}
+/** Looking for expired jobs visits all of them, so it is not done in every step. */
+constexpr std::chrono::seconds expiryInterval{1};
 
 Attempt nextAttempt(const TaskRecord &task)
 {
@@ -96,33 +91,35 @@
         return;
     }
     this->expireLeases(now);
-    this->expireJobs();
+    this->expireJobs(now);
     this->scheduleRound(now);
 }
 
 void Coordinator::enqueuePending(const JobRecord &job)
 {
-    if (job.cancelRequested) {
-        return;
-    }
+    const WaitingJob waiting{.id = job.id,
+                             .jobClass = job.spec->jobClass,
+                             .team = job.team,
+                             .submittedAt = job.submittedAt};
     for (std::uint32_t index = 0; index < job.tasks.size(); ++index) {
-        if (job.tasks[index].state == TaskState::Pending) {
-            this->scheduler.addTask(waitingJob(job), job.spec, index,
-                                    nextAttempt(job.tasks[index]));
+        if (job.tasks[index].state == TaskState::Pending && !job.cancelRequested) {
+            this->scheduler.addTask(waiting, job.spec, index, nextAttempt(job.tasks[index]));
         }
     }
+    this->observer.workArrived();
 }
 
-void Coordinator::requeue(const TaskId &task)
+void Coordinator::requeue(const TaskId &id)
 {
-    const auto job = this->state.jobs().find(task.job);
-    if (!job || job->cancelRequested || task.index >= job->tasks.size()) {
+    const auto view = this->state.jobs().findTask(id);
+    if (!view || view->cancelRequested || view->task.state != TaskState::Pending) {
         return;
     }
-    const TaskRecord &record = job->tasks[task.index];
-    if (record.state == TaskState::Pending) {
-        this->scheduler.addTask(waitingJob(*job), job->spec, task.index, nextAttempt(record));
-    }
+    const WaitingJob waiting{.id = id.job,
+                             .jobClass = view->spec->jobClass,
+                             .team = view->team,
+                             .submittedAt = view->submittedAt};
+    this->scheduler.addTask(waiting, view->spec, id.index, nextAttempt(view->task));
 }
 
 void Coordinator::scheduleRound(SteadyTime now)
@@ -134,7 +131,15 @@
     input.cellNow = this->cellNow();
     input.config = config.get();
     input.domainsOut = this->state.config().domainsOut();
-    for (StartGroup &group : this->scheduler.runRound(input)) {
+    const std::vector<StartGroup> groups = this->scheduler.runRound(input);
+    std::size_t placements = 0;
+    for (const StartGroup &group : groups) {
+        placements += group.starts.size();
+    }
+    if (placements > 0) {
+        this->observer.roundDecided(this->clock.steadyNow() - now, placements);
+    }
+    for (const StartGroup &group : groups) {
         Start command;
         command.job = group.job;
         command.allOrNone = group.allOrNone;
@@ -180,18 +185,21 @@
     }
 }
 
-void Coordinator::expireJobs()
+void Coordinator::expireJobs(SteadyTime now)
 {
-    const CellTime now = this->cellNow();
-    if (now.time_since_epoch() < this->settings.retention) {
-        return;
+    {
+        const std::lock_guard lock(this->roundMutex);
+        if (now < this->nextExpiry) {
+            return;
+        }
+        this->nextExpiry = now + expiryInterval;
     }
-    const CellTime endedBefore = now - this->settings.retention;
-    bool due = false;
-    for (const JobRecord &job : this->state.jobs().all()) {
-        due = due || (job.ended() && job.endedAt <= endedBefore);
+    const CellTime cellTime = this->cellNow();
+    if (cellTime.time_since_epoch() < this->settings.retention) {
+        return;
     }
-    if (due) {
+    const CellTime endedBefore = cellTime - this->settings.retention;
+    if (this->state.jobs().hasEnded(endedBefore)) {
         this->log.propose(Expire{.endedBefore = endedBefore}, [](const ApplyOutcome &) {});
     }
 }
--- a/libs/cell/src/coordinator_workers.cpp
+++ b/libs/cell/src/coordinator_workers.cpp
@@ -132,13 +132,10 @@
 {
     std::vector<AttemptId> stop;
     for (const AttemptId &held : report.held) {
-        bool wanted = false;
-        if (const auto job = this->state.jobs().find(held.task.job)) {
-            const bool exists = held.task.index < job->tasks.size();
-            const TaskRecord task = exists ? job->tasks[held.task.index] : TaskRecord{};
-            wanted = task.state == TaskState::Running && task.attempt == held.attempt
-                && task.instance == report.worker && !job->cancelRequested;
-        }
+        const auto view = this->state.jobs().findTask(held.task);
+        const bool wanted = view && view->task.state == TaskState::Running
+            && view->task.attempt == held.attempt && view->task.instance == report.worker
+            && !view->cancelRequested;
         if (!wanted) {
             stop.push_back(held);
         }
@@ -186,11 +183,11 @@
 void Coordinator::send(const Placement &placement)
 {
     const auto instance = this->state.fleet().find(placement.instance);
-    const auto job = this->state.jobs().find(placement.attempt.task.job);
+    const auto view = this->state.jobs().findTask(placement.attempt.task);
     // The check is made at the moment of sending: this leader may have been paused since the
     // commit, and operators may have taken the failure domain out.
-    const bool mayStart = instance && job && ok(this->checkLeading(Step::Send))
-        && !this->state.config().isOut(instance->spec.domain) && !job->cancelRequested;
+    const bool mayStart = instance && view && ok(this->checkLeading(Step::Send))
+        && !this->state.config().isOut(instance->spec.domain) && !view->cancelRequested;
     if (!mayStart) {
         this->release(placement, false, "start withheld");
         return;
@@ -198,7 +195,7 @@
     StartMessage message;
     message.attempt = placement.attempt;
     message.term = this->leadership().term;
-    message.spec = job->spec;
+    message.spec = view->spec;
     {
         SessionShard &shard = this->sessionShard(placement.instance);
         const std::lock_guard lock(shard.mutex);
@@ -207,11 +204,30 @@
         session.starts[placement.attempt] = SentStart{
             .proofGeneration = session.generation + maxStartLag + 1, .acknowledged = false};
     }
+    this->observer.taskStarted(view->spec->jobClass, view->team,
+                               view->task.startedAt - view->submittedAt);
     this->port.sendStart(
         placement.instance, instance->spec.upstream.address, message,
         [this, placement](const Status &status) { this->onSent(placement, status); });
 }
 
+void Coordinator::stopAttempts(const JobId &job)
+{
+    const auto record = this->state.jobs().find(job);
+    if (!record) {
+        return;
+    }
+    for (std::uint32_t index = 0; index < record->tasks.size(); ++index) {
+        const TaskRecord &task = record->tasks[index];
+        const auto instance = this->state.fleet().find(task.instance);
+        if (task.state == TaskState::Running && instance) {
+            this->port.sendStop(
+                instance->spec.upstream.address,
+                AttemptId{.task = TaskId{.job = job, .index = index}, .attempt = task.attempt});
+        }
+    }
+}
+
 void Coordinator::onSent(const Placement &placement, const Status &status)
 {
     const bool refused = !ok(status) && errorOf(status).outcome == Outcome::NotRun;
@@ -261,6 +277,7 @@
     }
     this->requeue(placement.attempt.task);
     this->wakeWaiters(placement.attempt.task.job);
+    this->observer.workArrived();
 }
 
 void Coordinator::expireLeases(SteadyTime now)
--- a/libs/cell/src/job_table.cpp
+++ b/libs/cell/src/job_table.cpp
@@ -58,6 +58,22 @@
     return found == shard.jobs.end() ? std::nullopt : std::optional(found->second);
 }
 
+std::optional<TaskView> JobTable::findTask(const TaskId &id) const
+{
+    const Shard &shard = this->shards.at(id.job.value % shardCount);
+    const std::lock_guard lock(shard.mutex);
+    const auto found = shard.jobs.find(id.job);
+    if (found == shard.jobs.end() || id.index >= found->second.tasks.size()) {
+        return std::nullopt;
+    }
+    const JobRecord &job = found->second;
+    return TaskView{.task = job.tasks[id.index],
+                    .team = job.team,
+                    .spec = job.spec,
+                    .submittedAt = job.submittedAt,
+                    .cancelRequested = job.cancelRequested};
+}
+
 std::vector<JobRecord> JobTable::all() const
 {
     std::vector<JobRecord> jobs;
@@ -70,6 +86,19 @@
     return jobs;
 }
 
+bool JobTable::hasEnded(CellTime endedBefore) const
+{
+    for (const Shard &shard : this->shards) {
+        const std::lock_guard lock(shard.mutex);
+        for (const auto &[id, job] : shard.jobs) {
+            if (job.ended() && job.endedAt <= endedBefore) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
 std::vector<JobRecord> JobTable::removeEnded(CellTime endedBefore)
 {
     std::vector<JobRecord> removed;
--- a/libs/control/include/control/control_instance.h
+++ b/libs/control/include/control/control_instance.h
@@ -6,6 +6,7 @@
 #include <thread>
 
 #include <cell/cell.h>
+#include <control/instance_metrics.h>
 #include <control/local_log.h>
 #include <control/settings.h>
 #include <gateway/gateway.h>
@@ -31,9 +32,12 @@
 private:
     void handle(const HttpRequest &request, const HttpServer::Respond &respond);
     void runSteps();
+    void wakeStepper();
+    InstanceReadings readings();
 
     Settings settings;
     SystemClock clock;
+    InstanceMetrics metrics;
     CellState state;
     Executor executor;
     HttpClient client;
@@ -47,6 +51,7 @@
     std::condition_variable wake;
     bool stopping = false;
     bool stepsEnded = false;
+    bool stepWanted = false;
     std::thread stepper;
 };
 
--- /dev/null
+++ b/libs/control/include/control/instance_metrics.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <cell/cell.h>
+
+namespace gooseberry {
+
+/** Readings that are taken when metrics are asked for. */
+struct InstanceReadings
+{
+    bool leads = false;
+    Term term;
+    Resources capacity;
+    Resources used;
+    double shareDistance = 0.0;
+    std::size_t workers = 0;
+    std::size_t workersUnreachable = 0;
+};
+
+/** The metrics of one control instance, in the text format of Prometheus. */
+class InstanceMetrics : public CoordinatorObserver
+{
+public:
+    /** Calls wake whenever work arrives. */
+    explicit InstanceMetrics(std::function<void()> initialWake);
+    ~InstanceMetrics() override;
+
+    void workArrived() override;
+    void taskStarted(JobClass jobClass, const TeamId &team,
+                     std::chrono::milliseconds waited) override;
+    void roundDecided(Duration elapsed, std::size_t placements) override;
+    void requestRefused(ErrorCode code) override;
+
+    /** Returns all metrics as text, with the readings as of now. */
+    std::string serialize(const InstanceReadings &readings);
+
+private:
+    struct Impl;
+    std::function<void()> wake;
+    std::unique_ptr<Impl> impl;
+};
+
+} // namespace gooseberry
--- a/libs/gateway/include/gateway/http_worker_port.h
+++ b/libs/gateway/include/gateway/http_worker_port.h
@@ -15,6 +15,7 @@
 
     void sendStart(const InstanceId &worker, const Address &address, const StartMessage &message,
                    Callback done) override;
+    void sendStop(const Address &address, const AttemptId &attempt) override;
 
 private:
     HttpClient &client;
--- a/libs/gateway/src/http_worker_port.cpp
+++ b/libs/gateway/src/http_worker_port.cpp
@@ -50,4 +50,12 @@
                       });
 }
 
+void HttpWorkerPort::sendStop(const Address &address, const AttemptId &attempt)
+{
+    HttpRequest request;
+    request.method = "DELETE";
+    request.target = "/v1/tasks/" + toString(attempt);
+    this->client.send(address, request, this->deadline, [](const Result<HttpResponse> &) {});
+}
+
 } // namespace gooseberry
