Refuse starts that were overtaken by a lease expiry or a worker restart

Found by reading: a start that was still on its way when its worker's lease expired, or when the worker was restarted, could be accepted after its attempt had been released and placed elsewhere, so a task could run in two places. Expiry now skips the worker's lease generation beyond the accepted lag, and a start names the worker process that it is meant for.

A resend of an accepted submission now skips admission and gets its first answer; before, it could be refused with not-run although its work had run. A refused resend says unknown.

--- a/apps/stub_worker/src/stub_worker.cpp
+++ b/apps/stub_worker/src/stub_worker.cpp
@@ -104,7 +104,8 @@
     const auto generation = static_cast<std::uint64_t>(numberOr(message, "generation", 0));
     {
         const std::lock_guard lock(this->mutex);
-        const bool outdated = term < this->seenTerm
+        const bool outdated = textOr(message, "incarnation", {}) != this->incarnation
+            || term < this->seenTerm
             || (term == this->seenTerm && generation + maxStartLag < this->seenGeneration);
         const bool leased = std::chrono::steady_clock::now() < this->leaseEnd;
         if (attempt.empty() || outdated || !leased || this->departing) {
--- a/libs/cell/include/cell/worker_port.h
+++ b/libs/cell/include/cell/worker_port.h
@@ -16,6 +16,8 @@
     Term term;
     /** The worker's lease generation at the time of sending; a worker refuses an outdated one. */
     std::uint64_t leaseGeneration = 0;
+    /** The process that the start is meant for; one that was started since refuses it. */
+    std::string incarnation;
     std::shared_ptr<const JobSpec> spec;
 };
 
--- a/libs/cell/src/coordinator.cpp
+++ b/libs/cell/src/coordinator.cpp
@@ -79,6 +79,13 @@
     }
     const auto config = this->state.config().current();
     AdmissionInput input;
+    input.queue = findQueue(*config, spec.queue);
+    if (input.queue != nullptr) {
+        team = input.queue->team;
+        const Team *owner = findTeam(*config, team);
+        input.limit = owner != nullptr ? owner->limit : Limit{};
+        input.pendingTasks = this->scheduler.pendingTasks(spec.queue);
+    }
     if (!caller.credential.empty()) {
         const Result<TeamId> authenticated = this->state.config().authenticate(caller.credential);
         if (!ok(authenticated)) {
@@ -86,14 +93,10 @@
         }
         input.caller = valueOf(authenticated);
     }
-    input.queue = findQueue(*config, spec.queue);
-    if (input.queue != nullptr) {
-        team = input.queue->team;
-        const Team *owner = findTeam(*config, team);
-        input.limit = owner != nullptr ? owner->limit : Limit{};
-        // A resend must get its first answer even when the queue is full by now.
-        const bool isResend = this->state.requests().find(team, caller.request).has_value();
-        input.pendingTasks = isResend ? 0 : this->scheduler.pendingTasks(spec.queue);
+    const bool mayUse = input.queue != nullptr && (input.queue->openToAll || input.caller == team);
+    if (mayUse && this->state.requests().find(team, caller.request)) {
+        // A resend gets its first answer, also when the job would not be admitted any more.
+        return Done{};
     }
     input.couldEverFit = this->state.fleet().couldEverHold(spec.perTask, spec.service);
     if (Status status = checkAdmission(spec, input); !ok(status)) {
@@ -112,6 +115,12 @@
     if (ok(status)) {
         status = this->admit(request.caller, request.spec, team);
     }
+    if (!ok(status) && this->state.requests().find(team, request.caller.request)) {
+        // An earlier submission with this id was accepted, so its work may well have run.
+        Error refusal = errorOf(status);
+        refusal.outcome = Outcome::Unknown;
+        status = refusal;
+    }
     if (!ok(status)) {
         spdlog::info("decision=admission request={} queue={} accepted=false {}",
                      request.caller.request.value, request.spec.queue.value,
--- a/libs/cell/src/coordinator_workers.cpp
+++ b/libs/cell/src/coordinator_workers.cpp
@@ -195,6 +195,7 @@
     StartMessage message;
     message.attempt = placement.attempt;
     message.term = this->leadership().term;
+    message.incarnation = instance->spec.upstream.incarnation;
     message.spec = view->spec;
     {
         SessionShard &shard = this->sessionShard(placement.instance);
@@ -290,6 +291,9 @@
                 continue;
             }
             session.expired = true;
+            // A start that is still on its way must not be accepted once the worker is back, since
+            // its attempt is released here.
+            session.generation += maxStartLag + 1;
             this->state.fleet().setReachable(worker, false);
             spdlog::warn("event=worker-lease-expired worker={} attempts={}", worker.value,
                          session.starts.size());
--- a/libs/gateway/src/json_codec.cpp
+++ b/libs/gateway/src/json_codec.cpp
@@ -358,6 +358,7 @@
     return json::serialize(json::object{{"attempt", toString(message.attempt)},
                                         {"term", message.term.value},
                                         {"generation", message.leaseGeneration},
+                                        {"incarnation", message.incarnation},
                                         {"class", toString(spec.jobClass)},
                                         {"template", spec.jobTemplate},
                                         {"service", spec.service},
