Read declarations and settings with positions, templates and merge

The first reader took a declaration as it came: unknown keys were ignored, an item was appended instead of replaced, and yaml-cpp's messages named no allowed values. Documents now go through one reader that builds its own tree from parser events, so anchors and aliases can't multiply values, and depth, size and the number of values are bounded. Declarations hold domains, templates with typed parameters and customers; an item replaces the one of its name, "remove" takes items out, and the canonical text in CellConfig::source is a fixed point, so applying a file twice yields an equal configuration. planChange() compares two configurations and names teams, queues and promises that suffer. Settings use the same reader and report all problems of a file at once without repeating the value of a token.

--- a/libs/contract/include/contract/contract.h
+++ b/libs/contract/include/contract/contract.h
@@ -7,10 +7,13 @@
 #include <contract/cell_config.h>
 #include <contract/customer.h>
 #include <contract/declaration.h>
+#include <contract/document.h>
 #include <contract/job_spec.h>
 #include <contract/key.h>
 #include <contract/lease.h>
 #include <contract/limit.h>
+#include <contract/plan.h>
+#include <contract/quantity.h>
 #include <contract/queue.h>
 #include <contract/reservation.h>
 #include <contract/share.h>
--- /dev/null
+++ b/libs/contract/include/contract/document.h
@@ -0,0 +1,135 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <base/base.h>
+
+namespace gooseberry {
+
+/** Where something stands in a file; lines and columns count from 1. */
+struct Position
+{
+    std::shared_ptr<const std::string> file;
+    std::size_t line = 1;
+    std::size_t column = 1;
+};
+
+/** Returns "file:line:column". */
+std::string toString(const Position &position);
+
+/** One value of a YAML document with its position. Scalars keep their text and have no type yet. */
+struct DocumentNode
+{
+    enum class Kind {
+        Empty, ///< Nothing, "~" or "null".
+        Scalar,
+        List,
+        Map,
+    };
+
+    Kind kind = Kind::Empty;
+    Position position;
+    std::string text;
+    /** The name under which the value stands in a map; empty in a list. */
+    std::string key;
+    Position keyPosition;
+    std::vector<DocumentNode> children;
+
+    /** Returns the value of the key, or null. */
+    const DocumentNode *find(const std::string &name) const;
+};
+
+/** Bounds that keep a hostile or mistaken file from taking memory or stack. */
+struct DocumentLimits
+{
+    Bytes maxSize{256LL * 1024};
+    std::size_t maxDepth = 16;
+    std::size_t maxNodes = 50'000;
+};
+
+/**
+ * Reads one YAML document; JSON is accepted too, since it is a subset. Anchors, aliases, tags,
+ * duplicate keys, control characters and a second document are refused. Errors are InvalidArgument
+ * with file, line and column; a file above the limits is TooLarge.
+ */
+Result<DocumentNode> parseDocument(const std::string &text, const std::string &fileName,
+                                   const DocumentLimits &limits = DocumentLimits{});
+
+/** Returns the document as block-style YAML that parseDocument() reads back to the same values. */
+std::string writeDocument(const DocumentNode &node);
+
+/** Returns the text in quotes for a message: shortened, without control characters. */
+std::string quoteForMessage(const std::string &text);
+
+/** Collects what is wrong with a file, so that one run reports all of it. */
+class Problems
+{
+public:
+    void add(const Position &position, const std::string &message);
+    bool empty() const;
+    std::size_t count() const;
+    /** Returns one InvalidArgument error with a line for each problem, ordered by position. */
+    Error toError(Step step, const std::string &fileName) const;
+
+private:
+    struct Problem
+    {
+        Position position;
+        std::string message;
+    };
+    std::vector<Problem> problems;
+};
+
+/**
+ * Reads the keys of one map, notes missing ones and wrong types, and in finish() those that nothing
+ * asked for. All readers return the fallback after a problem.
+ */
+class MapReader
+{
+public:
+    /** Notes a problem when the node is not a map. What names the map in messages. */
+    MapReader(const DocumentNode &initialNode, std::string initialWhat, Problems &initialProblems);
+
+    const DocumentNode *find(const std::string &key);
+    const DocumentNode *require(const std::string &key);
+    std::string text(const std::string &key, const std::string &fallback);
+    std::string requiredText(const std::string &key);
+    /** Reads a name: lower-case letters, digits and hyphens, starting with a letter or digit. */
+    std::string requiredName(const std::string &key);
+    std::int64_t integer(const std::string &key, std::int64_t fallback, std::int64_t lowest,
+                         std::int64_t highest);
+    bool boolean(const std::string &key, bool fallback);
+    /** Returns the items of a list, none when the key is absent. */
+    std::vector<DocumentNode> list(const std::string &key);
+    void finish();
+
+    const DocumentNode &node() const;
+
+private:
+    const DocumentNode &source;
+    std::string what;
+    Problems &problems;
+    std::vector<std::string> asked;
+};
+
+/** Returns whether the text is a valid name of up to 63 characters. */
+bool isName(const std::string &text);
+
+// Read one scalar, or note a problem that names what is expected and return nothing.
+std::optional<std::string> readText(const DocumentNode &node, const std::string &what,
+                                    Problems &problems);
+std::optional<std::string> readName(const DocumentNode &node, const std::string &what,
+                                    Problems &problems);
+std::optional<std::int64_t> readInteger(const DocumentNode &node, const std::string &what,
+                                        std::int64_t lowest, std::int64_t highest,
+                                        Problems &problems);
+std::optional<double> readNumber(const DocumentNode &node, const std::string &what, double lowest,
+                                 double highest, Problems &problems);
+std::optional<bool> readBoolean(const DocumentNode &node, const std::string &what,
+                                Problems &problems);
+
+} // namespace gooseberry
--- a/libs/contract/include/contract/team.h
+++ b/libs/contract/include/contract/team.h
@@ -17,6 +17,11 @@
     Limit limit;
     /** The keys that the team should have; their hashes are granted separately. */
     std::vector<KeyId> keys;
+    /**
+     * What operators have promised the team while the cell is full. It takes effect through the
+     * share; planChange() warns when the promises of all teams exceed the cell.
+     */
+    Resources guaranteed{};
 
     bool operator==(const Team &other) const = default;
 };
--- a/libs/contract/src/declaration.cpp
+++ b/libs/contract/src/declaration.cpp
@@ -1,88 +1,268 @@
 #include <contract/declaration.h>
 
-#include <yaml-cpp/yaml.h>
+#include <algorithm>
+#include <array>
+
+#include <contract/document.h>
+
+#include "declared_customer.h"
+#include "template.h"
 
 namespace gooseberry {
 
 namespace {
 
-Resources readResources(const YAML::Node &node)
+/** The merged text of hundreds of customers stays far below this. */
+constexpr DocumentLimits mergedLimits{
+    .maxSize = Bytes(4LL * 1024 * 1024), .maxDepth = 16, .maxNodes = 1'000'000};
+
+/** The sections that hold named items, in the order of the canonical text. */
+const std::array<std::string, 3> sectionNames{"domains", "templates", "customers"};
+
+/** Items of one section in the order in which they were declared first. */
+struct Section
 {
-    constexpr std::int64_t millisPerCore = 1000;
-    constexpr std::int64_t bytesPerMebibyte = 1024LL * 1024;
-    Resources amount;
-    amount.cpu = CpuMillis(node["cores"].as<std::int64_t>(0) * millisPerCore);
-    amount.memory = Bytes(node["memoryMiB"].as<std::int64_t>(0) * bytesPerMebibyte);
-    amount.accelerators = AcceleratorCount(node["accelerators"].as<std::int64_t>(0));
-    amount.slots = SlotCount(node["slots"].as<std::int64_t>(0));
-    return amount;
+    std::string name;
+    std::vector<DocumentNode> items;
+};
+using Sections = std::array<Section, 3>;
+
+std::string itemName(const DocumentNode &item)
+{
+    const DocumentNode *name = item.find("name");
+    return name != nullptr ? name->text : std::string();
 }
 
-Team readTeam(const YAML::Node &node, const CustomerId &customer)
+std::vector<DocumentNode>::iterator findItem(Section &section, const std::string &name)
 {
-    Team team;
-    team.id = TeamId(customer.value + '/' + node["name"].as<std::string>());
-    team.customer = customer;
-    team.share.weight = node["share"].as<double>(1.0);
-    team.limit.maximum = readResources(node["limit"]);
-    return team;
+    return std::find_if(section.items.begin(), section.items.end(),
+                        [&name](const DocumentNode &item) { return itemName(item) == name; });
 }
 
-Queue readQueue(const YAML::Node &node, const CustomerId &customer)
+/** Reads the three sections and checks that each item is a map with a name of its own. */
+Sections readSections(MapReader &reader, Problems &problems)
 {
-    constexpr std::uint32_t defaultMaxPending = 10'000;
-    Queue queue;
-    queue.id = QueueId(customer.value + '/' + node["name"].as<std::string>());
-    queue.team = TeamId(customer.value + '/' + node["team"].as<std::string>());
-    queue.openToAll = node["openToAll"].as<bool>(false);
-    queue.maxPendingTasks = node["maxPendingTasks"].as<std::uint32_t>(defaultMaxPending);
-    for (const YAML::Node &name : node["classes"]) {
-        if (auto parsed = parseJobClass(name.as<std::string>()); ok(parsed)) {
-            queue.classes.insert(valueOf(parsed));
+    Sections sections;
+    for (std::size_t i = 0; i < sections.size(); ++i) {
+        Section &section = sections.at(i);
+        section.name = sectionNames.at(i);
+        for (const DocumentNode &item : reader.list(section.name)) {
+            MapReader checked(item, "an item of '" + section.name + '\'', problems);
+            const std::string name = checked.requiredName("name");
+            const auto first = findItem(section, name);
+            if (!name.empty() && first != section.items.end()) {
+                problems.add(item.find("name")->position,
+                             quoteForMessage(name) + " stands twice in '" + section.name
+                                 + "', first at " + toString(first->position));
+            }
+            section.items.push_back(item);
         }
     }
-    return queue;
+    return sections;
 }
 
-Customer readCustomer(const YAML::Node &node)
+/** Takes the removed names out of what is in force; a name that is gone already is no error. */
+void removeItems(Sections &base, const Sections &change, const DocumentNode &remove,
+                 Problems &problems)
 {
-    Customer customer;
-    customer.id = CustomerId(node["name"].as<std::string>());
-    customer.share.weight = node["share"].as<double>(1.0);
-    for (const YAML::Node &team : node["teams"]) {
-        customer.teams.push_back(readTeam(team, customer.id));
+    MapReader reader(remove, "'remove'", problems);
+    for (std::size_t i = 0; i < base.size(); ++i) {
+        Section &section = base.at(i);
+        for (const DocumentNode &node : reader.list(section.name)) {
+            const auto name = readName(node, "a removed item", problems);
+            if (!name) {
+                continue;
+            }
+            Section changed = change.at(i);
+            if (findItem(changed, *name) != changed.items.end()) {
+                problems.add(node.position,
+                             quoteForMessage(*name) + " in '" + section.name
+                                 + "' is both declared and removed");
+            }
+            if (const auto item = findItem(section, *name); item != section.items.end()) {
+                section.items.erase(item);
+            }
+        }
     }
-    for (const YAML::Node &queue : node["queues"]) {
-        customer.queues.push_back(readQueue(queue, customer.id));
+    reader.finish();
+}
+
+void mergeItems(Sections &base, const Sections &change)
+{
+    for (std::size_t i = 0; i < base.size(); ++i) {
+        for (const DocumentNode &item : change.at(i).items) {
+            const auto existing = findItem(base.at(i), itemName(item));
+            if (existing != base.at(i).items.end()) {
+                *existing = item;
+            } else {
+                base.at(i).items.push_back(item);
+            }
+        }
     }
-    return customer;
 }
 
-} // namespace
+FailureDomainSpec readDomain(const DocumentNode &node, Problems &problems)
+{
+    MapReader reader(node, "a domain", problems);
+    FailureDomainSpec domain;
+    domain.id = FailureDomainId(reader.requiredName("name"));
+    domain.region = RegionId(reader.requiredName("region"));
+    reader.finish();
+    return domain;
+}
 
-Result<CellConfig> applyDeclaration(const CellConfig &current, const std::string &text,
-                                    const std::string &fileName)
+/** Reads the templates and fills each in once, so that an unused template is checked as well. */
+std::vector<TemplateSpec> readTemplates(const Section &section, Problems &problems)
 {
-    try {
-        const YAML::Node root = YAML::Load(text);
-        CellConfig config = current;
-        config.source = text;
-        for (const YAML::Node &domain : root["domains"]) {
-            config.domains.push_back(
-                FailureDomainSpec{.id = FailureDomainId(domain["name"].as<std::string>()),
-                                  .region = RegionId(domain["region"].as<std::string>())});
+    std::vector<TemplateSpec> templates;
+    for (const DocumentNode &item : section.items) {
+        const std::size_t before = problems.count();
+        TemplateSpec spec = readTemplate(item, problems);
+        checkPlaceholders(spec, problems);
+        if (problems.count() == before) {
+            readCustomer(fillIn(spec.body, sampleValues(spec)), CustomerId(spec.name), problems);
         }
-        for (const YAML::Node &customer : root["customers"]) {
-            config.customers.push_back(readCustomer(customer));
+        templates.push_back(std::move(spec));
+    }
+    return templates;
+}
+
+std::string nameAll(const std::vector<TemplateSpec> &templates)
+{
+    std::string names;
+    for (const TemplateSpec &spec : templates) {
+        names += (names.empty() ? "" : ", ") + spec.name;
+    }
+    return names.empty() ? "none" : names;
+}
+
+Customer readInstance(const DocumentNode &item, const DocumentNode &templateName,
+                      const std::vector<TemplateSpec> &templates, Problems &problems)
+{
+    const CustomerId id(itemName(item));
+    const auto found = std::find_if(
+        templates.begin(), templates.end(),
+        [&templateName](const TemplateSpec &spec) { return spec.name == templateName.text; });
+    MapReader reader(item, "customer '" + id.value + '\'', problems);
+    reader.find("name");
+    reader.find("template");
+    reader.find("parameters");
+    reader.finish();
+    if (found == templates.end()) {
+        problems.add(templateName.position,
+                     "template " + quoteForMessage(templateName.text)
+                         + " does not exist; declared are " + nameAll(templates));
+        return Customer{};
+    }
+    const std::size_t before = problems.count();
+    const auto values = readParameterValues(*found, item, problems);
+    if (problems.count() != before) {
+        return Customer{};
+    }
+    Problems filledProblems;
+    Customer customer = readCustomer(fillIn(found->body, values), id, filledProblems);
+    if (!filledProblems.empty()) {
+        problems.add(item.position,
+                     "customer '" + id.value + "' does not fit template '" + found->name
+                         + "': " + filledProblems.toError(Step::Parse, {}).message);
+    }
+    return customer;
+}
+
+std::vector<Customer> readCustomers(const Section &section,
+                                    const std::vector<TemplateSpec> &templates, Problems &problems)
+{
+    std::vector<Customer> customers;
+    for (const DocumentNode &item : section.items) {
+        const DocumentNode *templateName = item.find("template");
+        customers.push_back(templateName != nullptr
+                                ? readInstance(item, *templateName, templates, problems)
+                                : readCustomer(item, CustomerId(itemName(item)), problems));
+    }
+    return customers;
+}
+
+std::string writeSections(const Sections &sections)
+{
+    DocumentNode root;
+    root.kind = DocumentNode::Kind::Map;
+    for (const Section &section : sections) {
+        if (!section.items.empty()) {
+            DocumentNode list;
+            list.kind = DocumentNode::Kind::List;
+            list.key = section.name;
+            list.children = section.items;
+            root.children.push_back(std::move(list));
         }
-        return config;
-    } catch (const YAML::Exception &error) {
-        return Error{.code = ErrorCode::InvalidArgument,
+    }
+    return root.children.empty() ? std::string() : writeDocument(root);
+}
+
+/** Checks the merged sections as a whole, since a change of a template reaches old customers. */
+Result<CellConfig> readMerged(const Sections &sections, const std::string &fileName,
+                              Problems &problems)
+{
+    CellConfig config;
+    for (const DocumentNode &item : sections[0].items) {
+        config.domains.push_back(readDomain(item, problems));
+    }
+    const std::vector<TemplateSpec> templates = readTemplates(sections[1], problems);
+    if (problems.empty()) {
+        config.customers = readCustomers(sections[2], templates, problems);
+    }
+    if (!problems.empty()) {
+        return problems.toError(Step::Parse, fileName);
+    }
+    config.source = writeSections(sections);
+    if (config.source.size() > static_cast<std::size_t>(mergedLimits.maxSize.value)) {
+        return Error{.code = ErrorCode::TooLarge,
                      .step = Step::Parse,
                      .peer = fileName,
-                     .message = error.what(),
+                     .message = fileName + ":1:1: all declarations together exceed "
+                         + std::to_string(mergedLimits.maxSize.value) + " bytes",
                      .outcome = Outcome::NotRun};
     }
+    return config;
+}
+
+Result<Sections> readInForce(const CellConfig &current)
+{
+    const std::string name = "declarations in force";
+    const Result<DocumentNode> base = parseDocument(current.source, name, mergedLimits);
+    if (!ok(base)) {
+        return errorOf(base);
+    }
+    Problems problems;
+    DocumentNode root = valueOf(base);
+    root.kind = root.kind == DocumentNode::Kind::Empty ? DocumentNode::Kind::Map : root.kind;
+    MapReader reader(root, "a declaration", problems);
+    Sections sections = readSections(reader, problems);
+    return problems.empty() ? Result<Sections>(std::move(sections))
+                            : problems.toError(Step::Parse, name);
+}
+
+} // namespace
+
+Result<CellConfig> applyDeclaration(const CellConfig &current, const std::string &text,
+                                    const std::string &fileName)
+{
+    const Result<DocumentNode> root = parseDocument(text, fileName);
+    if (!ok(root)) {
+        return errorOf(root);
+    }
+    Result<Sections> base = readInForce(current);
+    if (!ok(base)) {
+        return errorOf(base);
+    }
+    Problems problems;
+    MapReader reader(valueOf(root), "a declaration", problems);
+    const Sections change = readSections(reader, problems);
+    if (const DocumentNode *remove = reader.find("remove")) {
+        removeItems(valueOf(base), change, *remove, problems);
+    }
+    reader.finish();
+    mergeItems(valueOf(base), change);
+    return readMerged(valueOf(base), fileName, problems);
 }
 
 } // namespace gooseberry
--- /dev/null
+++ b/libs/contract/src/document.cpp
@@ -0,0 +1,242 @@
+#include <contract/document.h>
+
+#include <algorithm>
+#include <sstream>
+
+#include <yaml-cpp/eventhandler.h>
+#include <yaml-cpp/yaml.h>
+
+namespace gooseberry {
+
+namespace {
+
+/** A refusal of the document, thrown through the YAML parser and caught in parseDocument(). */
+struct Refusal
+{
+    Position position;
+    std::string message;
+    ErrorCode code = ErrorCode::InvalidArgument;
+};
+
+/** Builds the tree from parser events; unlike a node graph it can't hold a value twice. */
+class TreeBuilder : public YAML::EventHandler
+{
+public:
+    TreeBuilder(std::shared_ptr<const std::string> initialFile, const DocumentLimits &initialLimits)
+        : file(std::move(initialFile))
+        , limits(initialLimits)
+    {
+        this->root.position.file = this->file;
+    }
+
+    DocumentNode takeRoot()
+    {
+        return std::move(this->root);
+    }
+
+    void OnDocumentStart(const YAML::Mark &mark) override // NOLINT(*-identifier-naming)
+    {
+        if (this->documents++ > 0) {
+            throw Refusal{this->at(mark), "only one document is allowed in a file"};
+        }
+    }
+    void OnDocumentEnd() override // NOLINT(*-identifier-naming)
+    {
+    }
+    void OnNull(const YAML::Mark &mark, YAML::anchor_t anchor) override // NOLINT(*-naming)
+    {
+        this->open(DocumentNode::Kind::Empty, mark, {}, anchor, {});
+    }
+    void OnAlias(const YAML::Mark &mark, YAML::anchor_t /*anchor*/) override // NOLINT(*-naming)
+    {
+        throw Refusal{this->at(mark), "aliases are not allowed; write the value out"};
+    }
+    void OnScalar(const YAML::Mark &mark, const std::string &tag, // NOLINT(*-identifier-naming)
+                  YAML::anchor_t anchor, const std::string &value) override
+    {
+        this->open(DocumentNode::Kind::Scalar, mark, tag, anchor, value);
+    }
+    void OnSequenceStart(const YAML::Mark &mark, const std::string &tag, // NOLINT(*-naming)
+                         YAML::anchor_t anchor, YAML::EmitterStyle::value /*style*/) override
+    {
+        this->enter(this->open(DocumentNode::Kind::List, mark, tag, anchor, {}));
+    }
+    void OnSequenceEnd() override // NOLINT(*-identifier-naming)
+    {
+        this->frames.pop_back();
+    }
+    void OnMapStart(const YAML::Mark &mark, const std::string &tag, // NOLINT(*-identifier-naming)
+                    YAML::anchor_t anchor, YAML::EmitterStyle::value /*style*/) override
+    {
+        this->enter(this->open(DocumentNode::Kind::Map, mark, tag, anchor, {}));
+    }
+    void OnMapEnd() override // NOLINT(*-identifier-naming)
+    {
+        this->frames.pop_back();
+    }
+
+private:
+    struct Frame
+    {
+        DocumentNode *node = nullptr;
+        bool hasKey = false;
+        std::string key;
+        Position keyPosition;
+    };
+
+    Position at(const YAML::Mark &mark) const
+    {
+        return Position{.file = this->file,
+                        .line = static_cast<std::size_t>(mark.line + 1),
+                        .column = static_cast<std::size_t>(mark.column + 1)};
+    }
+
+    void enter(DocumentNode *node)
+    {
+        if (this->frames.size() >= this->limits.maxDepth) {
+            throw Refusal{node->position,
+                          "nested deeper than " + std::to_string(this->limits.maxDepth) + " levels",
+                          ErrorCode::TooLarge};
+        }
+        this->frames.push_back(Frame{.node = node, .hasKey = false, .key = {}, .keyPosition = {}});
+    }
+
+    /** Adds a value where the document stands, or takes it as the key of the next value. */
+    DocumentNode *open(DocumentNode::Kind kind, const YAML::Mark &mark, const std::string &tag,
+                       YAML::anchor_t anchor, const std::string &text)
+    {
+        const Position position = this->at(mark);
+        if (anchor != 0) {
+            throw Refusal{position, "anchors are not allowed; write the value out"};
+        }
+        // The parser reports "?" for plain and "!" for quoted values.
+        if (!tag.empty() && tag != "?" && tag != "!") {
+            throw Refusal{position, "tags are not allowed"};
+        }
+        if (++this->nodes > this->limits.maxNodes) {
+            throw Refusal{position,
+                          "more than " + std::to_string(this->limits.maxNodes) + " values",
+                          ErrorCode::TooLarge};
+        }
+        DocumentNode node;
+        node.kind = kind;
+        node.position = position;
+        node.text = text;
+        if (this->frames.empty()) {
+            this->root = std::move(node);
+            return &this->root;
+        }
+        Frame &frame = this->frames.back();
+        if (frame.node->kind == DocumentNode::Kind::Map) {
+            if (!frame.hasKey) {
+                this->takeKey(frame, node);
+                return nullptr;
+            }
+            node.key = std::move(frame.key);
+            node.keyPosition = frame.keyPosition;
+            frame.hasKey = false;
+        }
+        frame.node->children.push_back(std::move(node));
+        return &frame.node->children.back();
+    }
+
+    void takeKey(Frame &frame, const DocumentNode &node) const
+    {
+        if (node.kind != DocumentNode::Kind::Scalar) {
+            throw Refusal{node.position, "a key must be text"};
+        }
+        if (const DocumentNode *first = frame.node->find(node.text)) {
+            throw Refusal{node.position,
+                          "key " + quoteForMessage(node.text) + " stands here twice, first in line "
+                              + std::to_string(first->keyPosition.line)};
+        }
+        frame.hasKey = true;
+        frame.key = node.text;
+        frame.keyPosition = node.position;
+    }
+
+    std::shared_ptr<const std::string> file;
+    DocumentLimits limits;
+    DocumentNode root;
+    std::vector<Frame> frames;
+    std::size_t nodes = 0;
+    std::size_t documents = 0;
+};
+
+Error refuse(const Refusal &refusal)
+{
+    return Error{.code = refusal.code,
+                 .step = Step::Parse,
+                 .peer = *refusal.position.file,
+                 .message = toString(refusal.position) + ": " + refusal.message,
+                 .outcome = Outcome::NotRun};
+}
+
+/** The parser takes some control characters for the end of the file and ignores the rest. */
+std::optional<Refusal> findControlCharacter(const std::string &text, Position position)
+{
+    constexpr unsigned char firstPrintable = 0x20;
+    for (const char letter : text) {
+        const auto code = static_cast<unsigned char>(letter);
+        if (letter == '\n') {
+            ++position.line;
+            position.column = 1;
+            continue;
+        }
+        if (code < firstPrintable && letter != '\t' && letter != '\r') {
+            return Refusal{position, "control characters are not allowed"};
+        }
+        ++position.column;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+const DocumentNode *DocumentNode::find(const std::string &name) const
+{
+    const auto found
+        = std::find_if(this->children.begin(), this->children.end(),
+                       [&name](const DocumentNode &child) { return child.key == name; });
+    return this->kind == Kind::Map && found != this->children.end() ? &*found : nullptr;
+}
+
+std::string toString(const Position &position)
+{
+    return (position.file ? *position.file : std::string()) + ':' + std::to_string(position.line)
+        + ':' + std::to_string(position.column);
+}
+
+Result<DocumentNode> parseDocument(const std::string &text, const std::string &fileName,
+                                   const DocumentLimits &limits)
+{
+    Position start;
+    start.file = std::make_shared<const std::string>(fileName);
+    if (text.size() > static_cast<std::size_t>(limits.maxSize.value)) {
+        return refuse(Refusal{start,
+                              "the file has " + std::to_string(text.size()) + " bytes, allowed are "
+                                  + std::to_string(limits.maxSize.value),
+                              ErrorCode::TooLarge});
+    }
+    if (const auto refusal = findControlCharacter(text, start)) {
+        return refuse(*refusal);
+    }
+    try {
+        std::istringstream input(text);
+        YAML::Parser parser(input);
+        TreeBuilder builder(start.file, limits);
+        while (parser.HandleNextDocument(builder)) { }
+        return builder.takeRoot();
+    } catch (const Refusal &refusal) {
+        return refuse(refusal);
+    } catch (const YAML::Exception &error) {
+        Position position = start;
+        if (!error.mark.is_null()) {
+            position.line = static_cast<std::size_t>(error.mark.line + 1);
+            position.column = static_cast<std::size_t>(error.mark.column + 1);
+        }
+        return refuse(Refusal{position, "not valid YAML: " + error.msg});
+    }
+}
+
+} // namespace gooseberry
--- a/libs/control/include/control/settings.h
+++ b/libs/control/include/control/settings.h
@@ -10,15 +10,43 @@
 
 namespace gooseberry {
 
+/** Another control instance of the same cell, as the settings name it. */
+struct PeerSettings
+{
+    InstanceId id;
+    /** Where it listens for other control instances. */
+    Address address;
+    FailureDomainId domain;
+    /** Whether it keeps the log and votes; such an instance has a data folder. */
+    bool voter = false;
+
+    bool operator==(const PeerSettings &other) const = default;
+};
+
 /** Everything that a control instance is told before it starts. */
 struct Settings
 {
     InstanceId id;
+    /** The failure domain that this instance is in. */
     FailureDomainId domain;
+    /** The cell that the instance belongs to; instances of different cells refuse each other. */
+    std::string cell{"cell"};
     /** Where callers, workers and operators connect. */
     Address listen;
+    /** Where other control instances connect; required with peers. */
+    std::optional<Address> peerListen;
+    /** The control instances of the cell. May name this one too, so that all can share the list. */
+    std::vector<PeerSettings> peers;
+    /** Where the log is kept; without it nothing survives the process. */
+    std::optional<std::filesystem::path> dataFolder;
+    /** Whether this instance votes. An instance without peers votes if it has a data folder. */
+    bool voter = false;
+    /** Lets an empty data folder start a new cell instead of joining one. */
+    bool bootstrap = false;
     std::string operatorToken;
     std::string workerToken;
+    /** "trace", "debug", "info", "warn" or "error". */
+    std::string logLevel{"info"};
     unsigned threads = 2;
     /** How often what is due is looked at. */
     std::chrono::milliseconds stepInterval{20};
@@ -26,7 +54,13 @@
     std::chrono::milliseconds drainPatience{30'000};
 };
 
-/** Reads a settings file. Errors carry file, line, column and the allowed values. */
+/**
+ * Reads a settings file. All problems of the file are reported at once, each with file, line,
+ * column and the allowed values; the value of a token is never repeated.
+ */
 Result<Settings> readSettings(const std::filesystem::path &file);
 
+/** Reads settings from text; the file name appears in messages only. */
+Result<Settings> parseSettings(const std::string &text, const std::string &fileName);
+
 } // namespace gooseberry
