Order by hierarchical dominant-resource fairness and place in slices

Cause: a round offered each team's whole queue before the next team's first task, placed by the largest free dimension alone, and held one lock for the whole round.

Change: a round picks one task (or gang) at a time for the customer and team with the least dominant share for its weight and counts it at once. Waiting jobs are in shards by team, grouped by shape; a shape that finds no room is blocked for the round, a shape that no instance could hold until the fleet changes, and a team at its limit until its use falls or its limit changes. Placement looks at slices of about 48 instances, each with its own lock, and goes through all of them before it reports no capacity. Decision threads sleep on a condition variable between rounds; with one thread, rounds are repeatable for a seed. A gang is offered room only when all of its tasks were added.

--- a/libs/fleet/include/fleet/fleet_table.h
+++ b/libs/fleet/include/fleet/fleet_table.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <array>
+#include <atomic>
+#include <cstdint>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -54,6 +56,11 @@
     bool couldEverHold(const Resources &amount, const std::string &service) const;
     /** Returns the sum of the declared sizes of all instances. */
     Resources totalCapacity() const;
+    /**
+     * Returns a number that grows whenever an instance appears, leaves, or changes in anything but
+     * what is in use on it. While it stands, what no instance could hold stays impossible.
+     */
+    std::uint64_t membershipVersion() const;
 
     /** Puts back an instance with its promised amount, when a snapshot is restored. */
     void restore(const Instance &instance);
@@ -71,6 +78,7 @@
     const Shard &shardOf(const InstanceId &id) const;
 
     std::array<Shard, shardCount> shards;
+    std::atomic<std::uint64_t> changes{0};
 };
 
 } // namespace gooseberry
--- a/libs/fleet/src/fleet_table.cpp
+++ b/libs/fleet/src/fleet_table.cpp
@@ -40,6 +40,7 @@
     instance.spec = spec;
     instance.departing = false;
     instance.reachable = true;
+    ++this->changes;
 }
 
 void Fleet::depart(const InstanceId &id)
@@ -48,6 +49,7 @@
     const std::lock_guard lock(shard.mutex);
     if (const auto found = shard.instances.find(id); found != shard.instances.end()) {
         found->second.departing = true;
+        ++this->changes;
     }
 }
 
@@ -60,6 +62,7 @@
         return false;
     }
     shard.instances.erase(found);
+    ++this->changes;
     return true;
 }
 
@@ -68,6 +71,9 @@
     Shard &shard = this->shardOf(id);
     const std::lock_guard lock(shard.mutex);
     if (const auto found = shard.instances.find(id); found != shard.instances.end()) {
+        if (found->second.reachable != reachable) {
+            ++this->changes;
+        }
         found->second.reachable = reachable;
     }
 }
@@ -175,11 +181,17 @@
     return total;
 }
 
+std::uint64_t Fleet::membershipVersion() const
+{
+    return this->changes.load();
+}
+
 void Fleet::restore(const Instance &instance)
 {
     Shard &shard = this->shardOf(instance.spec.id);
     const std::lock_guard lock(shard.mutex);
     shard.instances[instance.spec.id] = instance;
+    ++this->changes;
 }
 
 void Fleet::clear()
@@ -188,6 +200,7 @@
         const std::lock_guard lock(shard.mutex);
         shard.instances.clear();
     }
+    ++this->changes;
 }
 
 Fleet::Shard &Fleet::shardOf(const InstanceId &id)
--- a/libs/policy/include/policy/ordering.h
+++ b/libs/policy/include/policy/ordering.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstddef>
+#include <optional>
 #include <vector>
 
 #include <base/base.h>
@@ -16,20 +18,67 @@
     CellTime submittedAt;
 };
 
-/** What ordering needs to know of a team. */
-struct TeamStanding
+/** The steps in which classes are offered room. A step is exhausted before the next one begins. */
+enum class OrderStep {
+    Urgent, ///< Within its team's limit, before everything else.
+    Service, ///< A service that waits is below its strength.
+    Batch, ///< Gangs and batch work, by fairness.
+};
+constexpr std::size_t orderStepCount = 3;
+
+OrderStep orderStepOf(JobClass jobClass);
+
+/** A customer's standing within one round. */
+struct FairCustomer
 {
-    TeamId team;
-    Share share;
-    /** The team's dominant share of the cell, running and reserved together. */
-    double dominantShare = 0.0;
+    CustomerId id;
+    double weight = 1.0;
+    Resources held;
+    /** The dominant share of what is held over the weight; lower goes first. */
+    double normalisedShare = 0.0;
+};
+
+/** A team's standing within one round. */
+struct FairTeam
+{
+    TeamId id;
+    /** Index into FairOrder::customers. */
+    std::size_t customer = 0;
+    double weight = 1.0;
+    Resources held;
+    double normalisedShare = 0.0;
+    Limit limit;
+    /** Whether the team has work to offer in the current step; set by the caller. */
+    bool wants = false;
+    /** When the oldest of that work was submitted; set by the caller. */
+    CellTime oldest;
 };
 
 /**
- * Returns the waiting jobs in the order in which they should be offered room: urgent work first,
- * then the teams that have least for their weight, then the oldest.
+ * Hierarchical weighted dominant-resource fairness: room goes to the customer that holds least for
+ * its weight, and within it to the team that holds least for its weight.
  */
-std::vector<WaitingJob> orderJobs(std::vector<WaitingJob> jobs,
-                                  const std::vector<TeamStanding> &teams);
+struct FairOrder
+{
+    Resources capacity;
+    std::vector<FairCustomer> customers;
+    std::vector<FairTeam> teams;
+};
+
+/** Builds the standing of all declared teams from what they have running and reserved. */
+FairOrder makeFairOrder(const CellConfig &config, const std::vector<TeamUsage> &usage,
+                        const Resources &capacity);
+
+/** Returns the index of the wanting team that is next, or nothing when no team wants. */
+std::optional<std::size_t> nextTeam(const FairOrder &order);
+
+/**
+ * Counts an amount for a team and its customer. Called for each task as it is chosen, so that a
+ * team's whole queue can't pass in one go.
+ */
+void charge(FairOrder &order, std::size_t team, const Resources &amount);
+
+/** Takes back what was charged for a task that found no place. */
+void refund(FairOrder &order, std::size_t team, const Resources &amount);
 
 } // namespace gooseberry
--- a/libs/policy/include/policy/policy.h
+++ b/libs/policy/include/policy/policy.h
@@ -5,6 +5,8 @@
 // "gooseberryctl explain" share.
 
 #include <policy/admission.h>
+#include <policy/correction.h>
 #include <policy/ordering.h>
 #include <policy/placement.h>
 #include <policy/reason.h>
+#include <policy/running_task.h>
--- a/libs/scheduler/include/scheduler/scheduler_core.h
+++ b/libs/scheduler/include/scheduler/scheduler_core.h
@@ -1,64 +1,41 @@
 #pragma once
 
-#include <map>
+#include <cstdint>
 #include <memory>
 #include <mutex>
-#include <set>
+#include <optional>
 #include <vector>
 
 #include <base/base.h>
 #include <contract/contract.h>
 #include <fleet/fleet.h>
 #include <policy/policy.h>
+#include <scheduler/round_types.h>
 
 namespace gooseberry {
 
-/** A job with tasks that wait for a place. */
-struct PendingJob
-{
-    WaitingJob waiting;
-    std::shared_ptr<const JobSpec> spec;
-    /** The tasks that wait, with the attempt that the next start will carry. */
-    std::map<std::uint32_t, Attempt> tasks;
-};
-
-/** A decision to start one attempt on one instance. Its resources are reserved. */
-struct StartDecision
-{
-    AttemptId attempt;
-    InstanceId instance;
-    TeamId team;
-    Resources amount;
-    PlacementChoice choice;
-};
-
-/** The decisions that are committed together; for a gang, all of its tasks. */
-struct StartGroup
-{
-    JobId job;
-    bool allOrNone = false;
-    std::vector<StartDecision> starts;
-};
-
-/** What a round needs to know besides what waits and what is in use. */
-struct RoundInput
-{
-    SteadyTime now;
-    CellTime cellNow;
-    const CellConfig *config = nullptr;
-    std::set<FailureDomainId> domainsOut;
-};
+class RoundThreads;
+class RunningTable;
+class WaitingTable;
 
 /**
  * Holds the waiting tasks and turns them into start decisions. Safe for use by several threads;
- * rounds run one at a time.
+ * what waits and what runs is in shards that each have their own lock. Rounds run one at a time,
+ * each on all decision threads.
  */
 class Scheduler
 {
 public:
-    Scheduler(Fleet &initialFleet, TeamLedger &initialLedger);
+    Scheduler(Fleet &initialFleet, TeamLedger &initialLedger,
+              const SchedulerSettings &initialSettings = {});
+    ~Scheduler();
+    Scheduler(const Scheduler &) = delete;
+    Scheduler &operator=(const Scheduler &) = delete;
 
-    /** Adds a task that waits. A task that waits already is replaced. */
+    /**
+     * Adds a task that waits. A task that waits already is replaced. A gang is offered room once
+     * all of its tasks are added.
+     */
     void addTask(const WaitingJob &job, const std::shared_ptr<const JobSpec> &spec,
                  std::uint32_t index, Attempt nextAttempt);
     void removeJob(const JobId &job);
@@ -78,18 +55,21 @@
     Reason whyWaiting(const JobId &job) const;
 
 private:
-    std::vector<WaitingJob> ordered(const RoundInput &input) const;
-    StartGroup placeJob(PendingJob &job, const RoundInput &input, const Limit &limit,
-                        std::vector<Instance> &instances);
-    bool placeTask(const PendingJob &job, std::uint32_t index, const RoundInput &input,
-                   const Limit &limit, std::vector<Instance> &instances, StartGroup &group);
-    void undo(StartGroup &group, std::vector<Instance> &instances);
+    /** Returns a number that grows whenever a shape that fitted nowhere could fit somewhere. */
+    std::uint64_t updateCapacityVersion(const RoundInput &input);
 
     Fleet &fleet;
     TeamLedger &ledger;
-    mutable std::mutex mutex;
-    std::map<JobId, PendingJob> pending;
-    std::map<JobId, Reason> reasons;
+    SchedulerSettings settings;
+    std::unique_ptr<WaitingTable> waiting;
+    std::unique_ptr<RunningTable> running;
+    std::unique_ptr<RoundThreads> threads;
+
+    /** Held for a whole round; guards what follows. */
+    std::mutex roundMutex;
+    std::uint64_t capacityVersion = 1;
+    std::uint64_t seenMembership = 0;
+    std::set<FailureDomainId> seenDomainsOut;
 };
 
 } // namespace gooseberry
--- /dev/null
+++ b/libs/scheduler/src/fleet_view.cpp
@@ -0,0 +1,259 @@
+#include "fleet_view.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace gooseberry {
+
+namespace {
+
+Resources mostOf(const Resources &left, const Resources &right)
+{
+    return Resources{.cpu = std::max(left.cpu, right.cpu),
+                     .memory = std::max(left.memory, right.memory),
+                     .accelerators = std::max(left.accelerators, right.accelerators),
+                     .slots = std::max(left.slots, right.slots)};
+}
+
+std::int64_t timesIn(std::int64_t free, std::int64_t amount)
+{
+    return amount <= 0 ? std::numeric_limits<std::int64_t>::max() : free / amount;
+}
+
+std::int64_t timesIn(const Resources &free, const Resources &amount)
+{
+    return std::min({timesIn(free.cpu.value, amount.cpu.value),
+                     timesIn(free.memory.value, amount.memory.value),
+                     timesIn(free.accelerators.value, amount.accelerators.value),
+                     timesIn(free.slots.value, amount.slots.value)});
+}
+
+template<typename Name, typename Index>
+Index indexOf(std::map<Name, Index> &indexes, const Name &name)
+{
+    const auto next = Index(static_cast<std::uint32_t>(indexes.size()));
+    return indexes.emplace(name, next).first->second;
+}
+
+} // namespace
+
+FleetView::FleetView(const std::vector<Instance> &instances,
+                     const std::set<FailureDomainId> &domainsOut,
+                     const std::set<InstanceId> &avoided, const std::vector<HeldInstance> &held)
+{
+    std::map<FailureDomainId, DomainIndex> domainIndexes;
+    std::map<std::pair<FailureDomainId, RackId>, RackIndex> rackIndexes;
+    std::map<InstanceId, const HeldInstance *> holds;
+    for (const HeldInstance &hold : held) {
+        holds[hold.instance] = &hold;
+    }
+    indexOf(this->services, std::string());
+    std::vector<std::pair<Candidate, std::size_t>> plain;
+    std::vector<std::pair<Candidate, std::size_t>> accelerated;
+    for (const Instance &instance : instances) {
+        Candidate candidate;
+        candidate.capacity = instance.spec.capacity;
+        candidate.free = freeCapacity(instance);
+        candidate.domain = indexOf(domainIndexes, instance.spec.domain);
+        candidate.rack = indexOf(rackIndexes, {instance.spec.domain, instance.spec.rack});
+        candidate.service = indexOf(this->services, instance.spec.upstream.service);
+        this->locations[instance.spec.id] = {candidate.domain, candidate.rack};
+        if (!takesNewWork(instance, domainsOut) || avoided.contains(instance.spec.id)) {
+            continue;
+        }
+        if (const auto hold = holds.find(instance.spec.id); hold != holds.end()) {
+            candidate.heldUntil = hold->second->until;
+            candidate.heldFor = hold->second->job;
+        }
+        this->domains.insert(candidate.domain);
+        auto &group = candidate.capacity.accelerators.value > 0 ? accelerated : plain;
+        group.emplace_back(candidate, this->names.size());
+        this->names.push_back(instance.spec.id);
+    }
+    this->addSlices(std::move(plain));
+    this->firstAcceleratorSlice = this->slices.size();
+    this->addSlices(std::move(accelerated));
+}
+
+void FleetView::addSlices(std::vector<std::pair<Candidate, std::size_t>> group)
+{
+    if (group.empty()) {
+        return;
+    }
+    const std::size_t count = (group.size() + sliceSize - 1) / sliceSize;
+    const std::size_t first = this->slices.size();
+    for (std::size_t added = 0; added < count; ++added) {
+        this->slices.push_back(std::make_unique<Slice>());
+    }
+    // Dealing instances out one by one gives every slice some of each failure domain and rack.
+    std::size_t next = 0;
+    for (const auto &[candidate, name] : group) {
+        Slice &slice = *this->slices[first + next % count];
+        slice.candidates.push_back(candidate);
+        slice.nameIndexes.push_back(name);
+        slice.mostFree = mostOf(slice.mostFree, candidate.free);
+        ++next;
+    }
+}
+
+ServiceIndex FleetView::serviceIndex(const std::string &service) const
+{
+    const auto found = this->services.find(service);
+    // An index that no instance has: the request then finds no eligible instance.
+    return found == this->services.end() ? ServiceIndex(std::numeric_limits<std::uint32_t>::max())
+                                         : found->second;
+}
+
+std::optional<DomainIndex> FleetView::domainIndex(const InstanceId &instance) const
+{
+    const auto found = this->locations.find(instance);
+    return found == this->locations.end() ? std::nullopt : std::optional(found->second.first);
+}
+
+void FleetView::countSpread(SpreadCounts &counts, const InstanceId &instance) const
+{
+    const auto found = this->locations.find(instance);
+    if (found != this->locations.end()) {
+        ++counts.perDomain[found->second.first];
+        ++counts.perRack[found->second.second];
+    }
+}
+
+std::optional<ViewPlace> FleetView::place(const PlacementRequest &request, double firstSlice)
+{
+    PlacementRequest next = request;
+    if (request.spread != nullptr) {
+        next.domainCap = this->leastInDomain(*request.spread);
+    }
+    const std::size_t plain
+        = request.amount.accelerators.value > 0 ? this->firstAcceleratorSlice : 0;
+    for (;;) {
+        if (auto place = this->placeWithin(next, plain, this->firstAcceleratorSlice, firstSlice)) {
+            return place;
+        }
+        if (auto place = this->placeWithin(next, this->firstAcceleratorSlice, this->slices.size(),
+                                           firstSlice)) {
+            return place;
+        }
+        if (!next.domainCap) {
+            return std::nullopt;
+        }
+        next.domainCap.reset();
+    }
+}
+
+std::optional<ViewPlace> FleetView::placeWithin(const PlacementRequest &request, std::size_t begin,
+                                                std::size_t end, double firstSlice)
+{
+    const std::size_t count = end - begin;
+    const auto start = static_cast<std::size_t>(firstSlice * static_cast<double>(count));
+    for (std::size_t step = 0; step < count; ++step) {
+        if (auto place = this->placeInSlice(request, begin + (start + step) % count)) {
+            return place;
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<ViewPlace> FleetView::placeInSlice(const PlacementRequest &request,
+                                                 std::size_t sliceIndex)
+{
+    Slice &slice = *this->slices[sliceIndex];
+    const std::lock_guard lock(slice.mutex);
+    if (firstShortage(request.amount, slice.mostFree)) {
+        return std::nullopt;
+    }
+    const CandidateChoice choice = chooseCandidate(slice.candidates, request);
+    if (!choice.best) {
+        slice.mostFree = Resources{};
+        for (const Candidate &candidate : slice.candidates) {
+            slice.mostFree = mostOf(slice.mostFree, candidate.free);
+        }
+        return std::nullopt;
+    }
+    Candidate &chosen = slice.candidates[*choice.best];
+    chosen.free = subtract(chosen.free, request.amount).value_or(Resources{});
+    ViewPlace place{.slice = sliceIndex,
+                    .index = *choice.best,
+                    .domain = chosen.domain,
+                    .rack = chosen.rack,
+                    .instance = this->names[slice.nameIndexes[*choice.best]],
+                    .runnerUp = std::nullopt};
+    if (choice.runnerUp) {
+        place.runnerUp = this->names[slice.nameIndexes[*choice.runnerUp]];
+    }
+    return place;
+}
+
+void FleetView::giveBack(const ViewPlace &place, const Resources &amount)
+{
+    Slice &slice = *this->slices[place.slice];
+    const std::lock_guard lock(slice.mutex);
+    Candidate &candidate = slice.candidates[place.index];
+    candidate.free = add(candidate.free, amount).value_or(candidate.free);
+    slice.mostFree = mostOf(slice.mostFree, candidate.free);
+}
+
+void FleetView::closeInstance(const ViewPlace &place)
+{
+    Slice &slice = *this->slices[place.slice];
+    const std::lock_guard lock(slice.mutex);
+    slice.candidates[place.index].free = Resources{};
+}
+
+std::uint32_t FleetView::countFits(const PlacementRequest &request, std::uint32_t enough)
+{
+    std::int64_t count = 0;
+    for (const auto &slice : this->slices) {
+        const std::lock_guard lock(slice->mutex);
+        for (const Candidate &candidate : slice->candidates) {
+            if (fits(candidate, request)) {
+                count += std::min<std::int64_t>(timesIn(candidate.free, request.amount), enough);
+            }
+            if (count >= enough) {
+                return enough;
+            }
+        }
+    }
+    return static_cast<std::uint32_t>(count);
+}
+
+Reason FleetView::whyNoRoom(const PlacementRequest &request)
+{
+    bool offersService = false;
+    bool heldElsewhere = false;
+    bool largeEnough = false;
+    for (const auto &slice : this->slices) {
+        const std::lock_guard lock(slice->mutex);
+        for (const Candidate &candidate : slice->candidates) {
+            const bool offers
+                = request.service == ServiceIndex(0) || request.service == candidate.service;
+            offersService = offersService || offers;
+            largeEnough
+                = largeEnough || (offers && !firstShortage(request.amount, candidate.capacity));
+            heldElsewhere = heldElsewhere
+                || (offers && candidate.heldUntil && candidate.heldFor != request.job
+                    && !firstShortage(request.amount, candidate.free));
+        }
+    }
+    if (!offersService) {
+        return Reason::NoInstanceForService;
+    }
+    if (!largeEnough) {
+        return Reason::ShapeImpossible;
+    }
+    return heldElsewhere ? Reason::RoomReserved : Reason::NoCapacity;
+}
+
+std::uint32_t FleetView::leastInDomain(const SpreadCounts &counts) const
+{
+    std::uint32_t least = std::numeric_limits<std::uint32_t>::max();
+    for (const DomainIndex domain : this->domains) {
+        const auto found = counts.perDomain.find(domain);
+        least = std::min(least, found == counts.perDomain.end() ? 0U : found->second);
+    }
+    return least;
+}
+
+} // namespace gooseberry
--- /dev/null
+++ b/libs/scheduler/src/round_threads.cpp
@@ -0,0 +1,67 @@
+#include "round_threads.h"
+
+namespace gooseberry {
+
+RoundThreads::RoundThreads(unsigned count)
+{
+    for (unsigned thread = 1; thread < count; ++thread) {
+        this->threads.emplace_back([this, thread] { this->serve(thread); });
+    }
+}
+
+RoundThreads::~RoundThreads()
+{
+    {
+        const std::lock_guard lock(this->mutex);
+        this->stopping = true;
+    }
+    this->begun.notify_all();
+    for (std::thread &thread : this->threads) {
+        thread.join();
+    }
+}
+
+void RoundThreads::run(const std::function<void(unsigned)> &work)
+{
+    {
+        const std::lock_guard lock(this->mutex);
+        this->current = &work;
+        this->busy = static_cast<unsigned>(this->threads.size());
+        ++this->generation;
+    }
+    this->begun.notify_all();
+    work(0);
+    std::unique_lock lock(this->mutex);
+    this->ended.wait(lock, [this] { return this->busy == 0; });
+    this->current = nullptr;
+}
+
+unsigned RoundThreads::count() const
+{
+    return static_cast<unsigned>(this->threads.size()) + 1;
+}
+
+void RoundThreads::serve(unsigned thread)
+{
+    std::uint64_t seen = 0;
+    for (;;) {
+        const std::function<void(unsigned)> *work = nullptr;
+        {
+            std::unique_lock lock(this->mutex);
+            this->begun.wait(lock,
+                             [this, seen] { return this->stopping || this->generation != seen; });
+            if (this->stopping) {
+                return;
+            }
+            seen = this->generation;
+            work = this->current;
+        }
+        (*work)(thread);
+        const std::lock_guard lock(this->mutex);
+        if (--this->busy == 0) {
+            this->ended.notify_all();
+        }
+    }
+}
+
+} // namespace gooseberry
--- /dev/null
+++ b/libs/scheduler/src/round_threads.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <condition_variable>
+#include <cstdint>
+#include <functional>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+namespace gooseberry {
+
+/** Decision threads that sleep on a condition variable while there is no round. */
+class RoundThreads
+{
+public:
+    /** Starts one thread less than count, since the caller of run() works too. */
+    explicit RoundThreads(unsigned count);
+    ~RoundThreads();
+    RoundThreads(const RoundThreads &) = delete;
+    RoundThreads &operator=(const RoundThreads &) = delete;
+
+    /** Calls work(thread) once on every thread and returns when all have returned. */
+    void run(const std::function<void(unsigned)> &work);
+    unsigned count() const;
+
+private:
+    void serve(unsigned thread);
+
+    std::mutex mutex;
+    std::condition_variable begun;
+    std::condition_variable ended;
+    const std::function<void(unsigned)> *current = nullptr;
+    std::uint64_t generation = 0;
+    unsigned busy = 0;
+    bool stopping = false;
+    std::vector<std::thread> threads;
+};
+
+} // namespace gooseberry
--- a/libs/scheduler/src/scheduler_core.cpp
+++ b/libs/scheduler/src/scheduler_core.cpp
@@ -1,90 +1,68 @@
 #include <scheduler/scheduler_core.h>
 
-#include <algorithm>
+#include "fleet_view.h"
+#include "round_threads.h"
+#include "running_table.h"
+#include "scheduling_round.h"
+#include "waiting_table.h"
 
 namespace gooseberry {
 
-namespace {
-
-void adjustReserved(std::vector<Instance> &instances, const StartDecision &decision, bool take)
-{
-    const auto found
-        = std::find_if(instances.begin(), instances.end(), [&decision](const Instance &instance) {
-              return instance.spec.id == decision.instance;
-          });
-    if (found != instances.end()) {
-        const auto next = take ? add(found->reserved, decision.amount)
-                               : subtract(found->reserved, decision.amount);
-        found->reserved = next.value_or(found->reserved);
-    }
-}
-
-} // namespace
-
-Scheduler::Scheduler(Fleet &initialFleet, TeamLedger &initialLedger)
+Scheduler::Scheduler(Fleet &initialFleet, TeamLedger &initialLedger,
+                     const SchedulerSettings &initialSettings)
     : fleet(initialFleet)
     , ledger(initialLedger)
+    , settings(initialSettings)
+    , waiting(std::make_unique<WaitingTable>())
+    , running(std::make_unique<RunningTable>(initialSettings.correction))
+    , threads(std::make_unique<RoundThreads>(initialSettings.decisionThreads))
 {
 }
 
+Scheduler::~Scheduler() = default;
+
 void Scheduler::addTask(const WaitingJob &job, const std::shared_ptr<const JobSpec> &spec,
                         std::uint32_t index, Attempt nextAttempt)
 {
-    const std::lock_guard lock(this->mutex);
-    PendingJob &entry = this->pending[job.id];
-    entry.waiting = job;
-    entry.spec = spec;
-    entry.tasks[index] = nextAttempt;
+    this->waiting->add(job, spec, index, nextAttempt);
 }
 
 void Scheduler::removeJob(const JobId &job)
 {
-    const std::lock_guard lock(this->mutex);
-    this->pending.erase(job);
-    this->reasons.erase(job);
+    this->waiting->remove(job);
 }
 
 void Scheduler::clear()
 {
-    const std::lock_guard lock(this->mutex);
-    this->pending.clear();
-    this->reasons.clear();
+    this->waiting->clear();
+    this->running->clear();
 }
 
 std::uint32_t Scheduler::pendingTasks(const QueueId &queue) const
 {
-    const std::lock_guard lock(this->mutex);
-    std::uint32_t count = 0;
-    for (const auto &[id, job] : this->pending) {
-        if (job.spec->queue == queue) {
-            count += static_cast<std::uint32_t>(job.tasks.size());
-        }
-    }
-    return count;
+    return this->waiting->pendingTasks(queue);
 }
 
 std::vector<StartGroup> Scheduler::runRound(const RoundInput &input)
 {
-    const std::lock_guard lock(this->mutex);
-    std::vector<StartGroup> groups;
-    if (this->pending.empty()) {
-        return groups;
-    }
-    std::vector<Instance> instances = this->fleet.snapshot();
-    for (const WaitingJob &next : this->ordered(input)) {
-        PendingJob &job = this->pending.at(next.id);
-        const Team *team = findTeam(*input.config, next.team);
-        const Limit limit = team != nullptr ? team->limit : Limit{};
-        StartGroup group = this->placeJob(job, input, limit, instances);
-        if (!group.starts.empty()) {
-            groups.push_back(std::move(group));
-        }
-        if (job.tasks.empty()) {
-            this->pending.erase(next.id);
-            this->reasons.erase(next.id);
-        }
+    const std::lock_guard lock(this->roundMutex);
+    if (this->waiting->pendingTasks() == 0) {
+        return {};
     }
-    return groups;
+    const std::set<FailureDomainId> none;
+    const bool ignoreDomains = this->settings.faults.ignoreDomainsOut;
+    FleetView view(this->fleet.snapshot(), ignoreDomains ? none : input.domainsOut, {}, {});
+    SchedulingRound round(RoundParts{.fleet = this->fleet,
+                                     .ledger = this->ledger,
+                                     .waiting = *this->waiting,
+                                     .running = *this->running,
+                                     .view = view,
+                                     .input = input,
+                                     .settings = this->settings,
+                                     .capacityVersion = this->updateCapacityVersion(input),
+                                     .reservedFor = {}});
+    this->threads->run([&](unsigned thread) { round.work(thread, this->threads->count()); });
+    return round.takeGroups();
 }
 
 void Scheduler::settle(const StartDecision &decision)
@@ -95,87 +73,18 @@
 
 Reason Scheduler::whyWaiting(const JobId &job) const
 {
-    const std::lock_guard lock(this->mutex);
-    const auto found = this->reasons.find(job);
-    return found == this->reasons.end() ? Reason::Accepted : found->second;
-}
-
-std::vector<WaitingJob> Scheduler::ordered(const RoundInput &input) const
-{
-    std::vector<WaitingJob> jobs;
-    jobs.reserve(this->pending.size());
-    for (const auto &[id, job] : this->pending) {
-        jobs.push_back(job.waiting);
-    }
-    const Resources capacity = this->fleet.totalCapacity();
-    std::vector<TeamStanding> standings;
-    for (const Customer &customer : input.config->customers) {
-        for (const Team &team : customer.teams) {
-            const TeamUsage usage = this->ledger.usage(team.id);
-            const Resources held = add(usage.running, usage.reserved).value_or(usage.running);
-            standings.push_back(TeamStanding{.team = team.id,
-                                             .share = team.share,
-                                             .dominantShare = dominantShare(held, capacity)});
-        }
-    }
-    return orderJobs(std::move(jobs), standings);
-}
-
-StartGroup Scheduler::placeJob(PendingJob &job, const RoundInput &input, const Limit &limit,
-                               std::vector<Instance> &instances)
-{
-    StartGroup group;
-    group.job = job.waiting.id;
-    group.allOrNone = job.spec->jobClass == JobClass::Gang;
-    for (const auto &[index, attempt] : job.tasks) {
-        if (!this->placeTask(job, index, input, limit, instances, group)) {
-            break;
-        }
-    }
-    if (group.allOrNone && group.starts.size() < job.tasks.size()) {
-        this->undo(group, instances);
-    }
-    for (const StartDecision &decision : group.starts) {
-        job.tasks.erase(decision.attempt.task.index);
-    }
-    return group;
-}
-
-bool Scheduler::placeTask(const PendingJob &job, std::uint32_t index, const RoundInput &input,
-                          const Limit &limit, std::vector<Instance> &instances, StartGroup &group)
-{
-    StartDecision decision;
-    decision.attempt = AttemptId{.task = TaskId{.job = job.waiting.id, .index = index},
-                                 .attempt = job.tasks.at(index)};
-    decision.team = job.waiting.team;
-    decision.amount = job.spec->perTask;
-    decision.choice = choosePlacement(*job.spec, instances, input.domainsOut);
-    if (!decision.choice.instance) {
-        this->reasons[job.waiting.id] = decision.choice.reason;
-        return false;
-    }
-    decision.instance = *decision.choice.instance;
-    if (!ok(this->ledger.reserve(decision.team, decision.amount, limit))) {
-        this->reasons[job.waiting.id] = Reason::TeamAtLimit;
-        return false;
-    }
-    if (!ok(this->fleet.reserve(decision.instance, decision.amount))) {
-        this->ledger.releaseReservation(decision.team, decision.amount);
-        this->reasons[job.waiting.id] = Reason::NoCapacity;
-        return false;
-    }
-    adjustReserved(instances, decision, true);
-    group.starts.push_back(std::move(decision));
-    return true;
+    return this->waiting->whyWaiting(job).value_or(Reason::Accepted);
 }
 
-void Scheduler::undo(StartGroup &group, std::vector<Instance> &instances)
+std::uint64_t Scheduler::updateCapacityVersion(const RoundInput &input)
 {
-    for (const StartDecision &decision : group.starts) {
-        this->settle(decision);
-        adjustReserved(instances, decision, false);
+    const std::uint64_t membership = this->fleet.membershipVersion();
+    if (membership != this->seenMembership || input.domainsOut != this->seenDomainsOut) {
+        this->seenMembership = membership;
+        this->seenDomainsOut = input.domainsOut;
+        ++this->capacityVersion;
     }
-    group.starts.clear();
+    return this->capacityVersion;
 }
 
 } // namespace gooseberry
--- /dev/null
+++ b/libs/scheduler/src/scheduling_round.cpp
@@ -0,0 +1,310 @@
+#include "scheduling_round.h"
+
+#include <algorithm>
+#include <set>
+
+namespace gooseberry {
+
+namespace {
+
+/** Returns a fraction between 0 and 1 that is equal for equal inputs. */
+double spreadFraction(std::uint64_t seed, const TaskId &task)
+{
+    // Finaliser of SplitMix64; it spreads neighbouring task numbers over the whole range.
+    std::uint64_t mixed = seed + std::hash<TaskId>{}(task);
+    mixed = (mixed ^ (mixed >> 30U)) * 0xBF58476D1CE4E5B9ULL;
+    mixed = (mixed ^ (mixed >> 27U)) * 0x94D049BB133111EBULL;
+    mixed ^= mixed >> 31U;
+    constexpr double scale = 1.0 / 18446744073709551616.0;
+    return std::min(static_cast<double>(mixed) * scale, 0.999999);
+}
+
+} // namespace
+
+SchedulingRound::SchedulingRound(const RoundParts &initialParts)
+    : parts(initialParts)
+    , order(makeFairOrder(*initialParts.input.config, initialParts.ledger.allUsage(),
+                          initialParts.fleet.totalCapacity()))
+{
+    this->addUndeclaredTeams();
+    for (std::size_t team = 0; team < this->order.teams.size(); ++team) {
+        const FairTeam &entry = this->order.teams[team];
+        this->parts.waiting.openRound(entry.id,
+                                      BlockContext{.capacityVersion = this->parts.capacityVersion,
+                                                   .held = entry.held,
+                                                   .limit = entry.limit},
+                                      this->parts.input.now);
+        this->updateWants(team);
+    }
+}
+
+void SchedulingRound::work(unsigned thread, unsigned threads)
+{
+    const double home = static_cast<double>(thread) / static_cast<double>(threads);
+    for (;;) {
+        std::vector<Pick> picks = this->pickNext();
+        if (picks.empty()) {
+            return;
+        }
+        for (Pick &pick : picks) {
+            this->placeWork(pick, home);
+        }
+        this->finish(std::move(picks));
+    }
+}
+
+std::vector<StartGroup> SchedulingRound::takeGroups()
+{
+    const std::lock_guard lock(this->mutex);
+    std::stable_sort(this->decided.begin(), this->decided.end(),
+                     [](const auto &a, const auto &b) { return a.first < b.first; });
+    std::vector<StartGroup> groups;
+    std::map<JobId, std::size_t> positions;
+    for (auto &[sequence, group] : this->decided) {
+        const auto [position, added] = positions.emplace(group.job, groups.size());
+        if (added) {
+            groups.push_back(std::move(group));
+            continue;
+        }
+        StartGroup &earlier = groups[position->second];
+        std::move(group.starts.begin(), group.starts.end(), std::back_inserter(earlier.starts));
+    }
+    return groups;
+}
+
+const std::optional<UnplacedGang> &SchedulingRound::firstUnplacedGang() const
+{
+    return this->unplacedGang;
+}
+
+void SchedulingRound::addUndeclaredTeams()
+{
+    std::set<TeamId> declared;
+    for (const FairTeam &team : this->order.teams) {
+        declared.insert(team.id);
+    }
+    // Work of a team that was withdrawn has an empty limit, so it waits with that reason.
+    for (const TeamId &team : this->parts.waiting.teams()) {
+        if (!declared.contains(team)) {
+            FairTeam entry;
+            entry.id = team;
+            entry.customer = this->order.customers.size();
+            this->order.customers.emplace_back();
+            this->order.teams.push_back(std::move(entry));
+        }
+    }
+}
+
+void SchedulingRound::updateWants(std::size_t team)
+{
+    FairTeam &entry = this->order.teams[team];
+    const auto oldest = this->parts.waiting.oldest(entry.id, this->step);
+    entry.wants = oldest.has_value();
+    entry.oldest = oldest.value_or(CellTime{});
+}
+
+std::vector<SchedulingRound::Pick> SchedulingRound::pickNext()
+{
+    std::vector<Pick> picks;
+    const std::lock_guard lock(this->mutex);
+    while (picks.size() < picksPerTurn) {
+        const auto team = nextTeam(this->order);
+        if (!team) {
+            // Later steps wait until the picks at hand are settled, so that they see their effect.
+            if (!picks.empty() || this->step == OrderStep::Batch) {
+                break;
+            }
+            this->step = this->step == OrderStep::Urgent ? OrderStep::Service : OrderStep::Batch;
+            for (std::size_t index = 0; index < this->order.teams.size(); ++index) {
+                this->updateWants(index);
+            }
+            continue;
+        }
+        auto work = this->parts.waiting.take(this->order.teams[*team].id, this->step);
+        this->updateWants(*team);
+        if (!work) {
+            continue;
+        }
+        Pick pick;
+        pick.sequence = this->nextSequence++;
+        pick.team = *team;
+        pick.total = multiply(work->spec->perTask, static_cast<std::uint32_t>(work->tasks.size()))
+                         .value_or(work->spec->perTask);
+        pick.work = std::move(*work);
+        charge(this->order, *team, pick.total);
+        picks.push_back(std::move(pick));
+    }
+    return picks;
+}
+
+void SchedulingRound::finish(std::vector<Pick> picks)
+{
+    const std::lock_guard lock(this->mutex);
+    for (Pick &pick : picks) {
+        if (pick.reason == Reason::BestFit) {
+            StartGroup group;
+            group.job = pick.work.waiting.id;
+            group.allOrNone = pick.work.spec->jobClass == JobClass::Gang;
+            for (auto &[decision, place] : pick.starts) {
+                group.starts.push_back(std::move(decision));
+            }
+            this->decided.emplace_back(pick.sequence, std::move(group));
+            if (!this->parts.settings.faults.keepStartedTasks) {
+                this->parts.waiting.placed(pick.work);
+                continue;
+            }
+        }
+        refund(this->order, pick.team, pick.total);
+        const FairTeam &team = this->order.teams[pick.team];
+        this->parts.waiting.putBack(pick.work, pick.reason,
+                                    BlockContext{.capacityVersion = this->parts.capacityVersion,
+                                                 .held = team.held,
+                                                 .limit = team.limit});
+        this->updateWants(pick.team);
+        if (pick.reason == Reason::TeamAtLimit) {
+            continue;
+        }
+        this->failures.emplace(shapeOf(*pick.work.spec), pick.reason);
+        const bool waitsForRoom
+            = pick.reason == Reason::NoCapacity || pick.reason == Reason::RoomReserved;
+        const bool first = !this->unplacedGang || pick.sequence < this->unplacedSequence;
+        if (pick.work.spec->jobClass == JobClass::Gang && waitsForRoom && first) {
+            this->unplacedSequence = pick.sequence;
+            this->unplacedGang = UnplacedGang{
+                .job = pick.work.waiting.id,
+                .team = pick.work.waiting.team,
+                .perTask = pick.work.spec->perTask,
+                .tasks = static_cast<std::uint32_t>(pick.work.tasks.size()),
+                .service = pick.work.spec->service,
+            };
+        }
+    }
+}
+
+PlacementRequest SchedulingRound::requestFor(const TakenWork &work) const
+{
+    PlacementRequest request;
+    request.job = work.waiting.id;
+    request.amount = work.spec->perTask;
+    request.service = this->parts.view.serviceIndex(work.spec->service);
+    const auto runTime = correctedRunTime(
+        *work.spec, this->parts.running.estimate(work.waiting.team, work.spec->jobTemplate),
+        this->parts.settings.correction);
+    if (runTime) {
+        request.expectedEnd = this->parts.input.now + *runTime;
+    }
+    return request;
+}
+
+void SchedulingRound::placeWork(Pick &pick, double firstSlice)
+{
+    const JobSpec &spec = *pick.work.spec;
+    const bool gang = spec.jobClass == JobClass::Gang;
+    if (const auto known = this->knownFailure(pick.work)) {
+        pick.reason = *known;
+        return;
+    }
+    const FairTeam &team = this->order.teams[pick.team];
+    if (!this->parts.settings.faults.ignoreTeamLimit
+        && !ok(this->parts.ledger.reserve(team.id, pick.total, team.limit))) {
+        pick.reason = Reason::TeamAtLimit;
+        return;
+    }
+    const std::unique_lock gangLock
+        = gang ? std::unique_lock(this->gangMutex) : std::unique_lock<std::mutex>();
+    PlacementRequest request = this->requestFor(pick.work);
+    const auto count = static_cast<std::uint32_t>(pick.work.tasks.size());
+    bool whole = !gang || this->parts.view.countFits(request, count) >= count;
+    const bool splits = gang && this->parts.settings.faults.splitGangs;
+    for (std::size_t task = 0; (whole || splits) && task < count; ++task) {
+        whole = this->placeTask(pick, task, request, firstSlice);
+    }
+    if (whole || (splits && !pick.starts.empty())) {
+        return;
+    }
+    this->undo(pick);
+    this->parts.ledger.releaseReservation(team.id, pick.total);
+    pick.reason = this->parts.view.whyNoRoom(request);
+}
+
+bool SchedulingRound::placeTask(Pick &pick, std::size_t task, const PlacementRequest &request,
+                                double firstSlice)
+{
+    const auto &[index, attempt] = pick.work.tasks[task];
+    const TaskId taskId{.job = pick.work.waiting.id, .index = index};
+    PlacementRequest next = request;
+    SpreadCounts counts;
+    if (pick.work.spec->jobClass == JobClass::Service) {
+        counts = this->spreadOf(pick.work.waiting.id);
+        next.spread = &counts;
+        firstSlice = spreadFraction(this->parts.settings.seed, taskId);
+    }
+    auto place = this->parts.view.place(next, firstSlice);
+    while (place && !this->reserveOnFleet(*place, next.amount)) {
+        // The instance changed since the round began.
+        this->parts.view.closeInstance(*place);
+        place = this->parts.view.place(next, firstSlice);
+    }
+    if (!place) {
+        return false;
+    }
+    if (next.spread != nullptr) {
+        this->countSpread(pick.work.waiting.id, *place);
+    }
+    StartDecision decision;
+    decision.attempt = AttemptId{.task = taskId, .attempt = attempt};
+    decision.instance = place->instance;
+    decision.team = pick.work.waiting.team;
+    decision.amount = next.amount;
+    decision.choice = PlacementChoice{
+        .instance = place->instance, .runnerUp = place->runnerUp, .reason = Reason::BestFit};
+    pick.starts.emplace_back(std::move(decision), std::move(*place));
+    return true;
+}
+
+bool SchedulingRound::reserveOnFleet(const ViewPlace &place, const Resources &amount)
+{
+    return this->parts.settings.faults.ignoreInstanceSize
+        || ok(this->parts.fleet.reserve(place.instance, amount));
+}
+
+void SchedulingRound::undo(Pick &pick)
+{
+    for (const auto &[decision, place] : pick.starts) {
+        this->parts.fleet.releaseReservation(decision.instance, decision.amount);
+        this->parts.view.giveBack(place, decision.amount);
+    }
+    pick.starts.clear();
+}
+
+SpreadCounts SchedulingRound::spreadOf(const JobId &job)
+{
+    const std::lock_guard lock(this->spreadMutex);
+    const auto [entry, added] = this->spreads.try_emplace(job);
+    if (added) {
+        for (const InstanceId &instance : this->parts.running.instancesOf(job)) {
+            this->parts.view.countSpread(entry->second, instance);
+        }
+    }
+    return entry->second;
+}
+
+void SchedulingRound::countSpread(const JobId &job, const ViewPlace &place)
+{
+    const std::lock_guard lock(this->spreadMutex);
+    SpreadCounts &counts = this->spreads[job];
+    ++counts.perDomain[place.domain];
+    ++counts.perRack[place.rack];
+}
+
+std::optional<Reason> SchedulingRound::knownFailure(const TakenWork &work)
+{
+    if (work.waiting.id == this->parts.reservedFor) {
+        return std::nullopt;
+    }
+    const std::lock_guard lock(this->mutex);
+    const auto found = this->failures.find(shapeOf(*work.spec));
+    return found == this->failures.end() ? std::nullopt : std::optional(found->second);
+}
+
+} // namespace gooseberry
--- /dev/null
+++ b/libs/scheduler/src/scheduling_round.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include <base/base.h>
+#include <contract/contract.h>
+#include <fleet/fleet.h>
+#include <policy/policy.h>
+#include <scheduler/round_types.h>
+
+#include "fleet_view.h"
+#include "running_table.h"
+#include "waiting_table.h"
+
+namespace gooseberry {
+
+/** What a round works on. All of it outlives the round. */
+struct RoundParts
+{
+    Fleet &fleet;
+    TeamLedger &ledger;
+    WaitingTable &waiting;
+    const RunningTable &running;
+    FleetView &view;
+    const RoundInput &input;
+    const SchedulerSettings &settings;
+    std::uint64_t capacityVersion = 0;
+    /** The gang that holds a reservation, if any. */
+    JobId reservedFor;
+};
+
+/** A gang that fits the fleet but not what is free now. */
+struct UnplacedGang
+{
+    JobId job;
+    TeamId team;
+    Resources perTask;
+    std::uint32_t tasks = 0;
+    std::string service;
+};
+
+/**
+ * One pass over what waits. Several threads may call work() at the same time: who is next is
+ * decided under one short lock, and places are searched outside of it.
+ */
+class SchedulingRound
+{
+public:
+    explicit SchedulingRound(const RoundParts &initialParts);
+
+    /** Places work until nothing is left to offer. The thread's number is below threads. */
+    void work(unsigned thread, unsigned threads);
+
+    /** Returns the decisions by job, in the order in which jobs were first chosen. */
+    std::vector<StartGroup> takeGroups();
+    /** Returns the gang that was first in line among those that found no room. */
+    const std::optional<UnplacedGang> &firstUnplacedGang() const;
+
+private:
+    struct Pick
+    {
+        std::uint64_t sequence = 0;
+        std::size_t team = 0;
+        TakenWork work;
+        Resources total;
+        std::vector<std::pair<StartDecision, ViewPlace>> starts;
+        Reason reason = Reason::BestFit;
+    };
+    /** Each turn takes this many tasks under the lock; each counts for fairness at once. */
+    static constexpr std::size_t picksPerTurn = 8;
+
+    std::vector<Pick> pickNext();
+    void finish(std::vector<Pick> picks);
+    void updateWants(std::size_t team);
+    void addUndeclaredTeams();
+
+    void placeWork(Pick &pick, double firstSlice);
+    bool placeTask(Pick &pick, std::size_t task, const PlacementRequest &request,
+                   double firstSlice);
+    bool reserveOnFleet(const ViewPlace &place, const Resources &amount);
+    void undo(Pick &pick);
+    PlacementRequest requestFor(const TakenWork &work) const;
+    SpreadCounts spreadOf(const JobId &job);
+    void countSpread(const JobId &job, const ViewPlace &place);
+    std::optional<Reason> knownFailure(const TakenWork &work);
+
+    RoundParts parts;
+    /** Guards order, step, sequence, decided, failures and unplacedGang. */
+    std::mutex mutex;
+    FairOrder order;
+    OrderStep step = OrderStep::Urgent;
+    std::uint64_t nextSequence = 0;
+    std::vector<std::pair<std::uint64_t, StartGroup>> decided;
+    std::map<Shape, Reason> failures;
+    std::optional<UnplacedGang> unplacedGang;
+    std::uint64_t unplacedSequence = 0;
+    /** One gang at a time tries, so that two of them can't each take half of the room. */
+    std::mutex gangMutex;
+    std::mutex spreadMutex;
+    std::map<JobId, SpreadCounts> spreads;
+};
+
+} // namespace gooseberry
