Add decisions for faults, gangs, preemption, correction and routing

Cause: the policy library could admit, order and place, but not tell a bad worker from a bad job, make room for a gang or for urgent work, use what reports show, empty a failure domain or route requests.

Change: one file per decision, all free functions over plain structs with the time as an argument: quarantine, retry, reservation, preemption, correction, evacuation, routing; admission sheds the lowest class first with not-run.

--- a/libs/policy/include/policy/admission.h
+++ b/libs/policy/include/policy/admission.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <optional>
 
 #include <base/base.h>
@@ -19,8 +20,15 @@
     std::optional<TeamId> caller;
     std::uint32_t pendingTasks = 0;
     bool couldEverFit = false;
+    /** Tasks that wait in the whole cell. */
+    std::uint32_t cellPendingTasks = 0;
+    /** Waiting tasks from which on work is shed, lowest class first; 0 sheds nothing. */
+    std::uint32_t shedAbove = 0;
 };
 
+/** Returns how many waiting tasks the cell tolerates before it sheds new work of the class. */
+std::uint64_t shedBound(JobClass jobClass, std::uint32_t shedAbove);
+
 /** Returns Done, or an error with outcome NotRun that names what stands in the way. */
 Status checkAdmission(const JobSpec &spec, const AdmissionInput &input);
 
--- a/libs/policy/include/policy/policy.h
+++ b/libs/policy/include/policy/policy.h
@@ -6,7 +6,13 @@
 
 #include <policy/admission.h>
 #include <policy/correction.h>
+#include <policy/evacuation.h>
 #include <policy/ordering.h>
 #include <policy/placement.h>
+#include <policy/preemption.h>
+#include <policy/quarantine.h>
 #include <policy/reason.h>
+#include <policy/reservation.h>
+#include <policy/retry.h>
+#include <policy/routing.h>
 #include <policy/running_task.h>
--- a/libs/policy/src/admission.cpp
+++ b/libs/policy/src/admission.cpp
@@ -31,6 +31,25 @@
 
 } // namespace
 
+std::uint64_t shedBound(JobClass jobClass, std::uint32_t shedAbove)
+{
+    // Batch work is shed first, then gangs, then services; urgent work only at four times the
+    // bound.
+    constexpr std::uint64_t quarters = 4;
+    const std::uint64_t bound = shedAbove;
+    switch (jobClass) {
+    case JobClass::Batch:
+        return bound;
+    case JobClass::Gang:
+        return bound + bound / quarters;
+    case JobClass::Service:
+        return bound * 2;
+    case JobClass::Urgent:
+        return bound * quarters;
+    }
+    return bound;
+}
+
 Status checkAdmission(const JobSpec &spec, const AdmissionInput &input)
 {
     if (input.queue == nullptr) {
@@ -57,6 +76,12 @@
         return refuse(ErrorCode::Impossible, Step::Admit, Reason::ShapeImpossible,
                       "no instance could ever hold a task of this shape");
     }
+    if (input.shedAbove > 0
+        && input.cellPendingTasks >= shedBound(spec.jobClass, input.shedAbove)) {
+        return refuse(ErrorCode::Overloaded, Step::Admit, Reason::LoadShed,
+                      std::to_string(input.cellPendingTasks) + " tasks wait in the cell; class "
+                          + toString(spec.jobClass) + " is not admitted until fewer do");
+    }
     if (input.pendingTasks + spec.taskCount > queue.maxPendingTasks) {
         return refuse(ErrorCode::LimitExceeded, Step::Admit, Reason::QueueFull,
                       "queue " + queue.id.value + " holds " + std::to_string(input.pendingTasks)
--- /dev/null
+++ b/libs/policy/src/preemption.cpp
@@ -0,0 +1,167 @@
+#include <policy/preemption.h>
+
+#include <algorithm>
+#include <chrono>
+#include <map>
+#include <set>
+#include <tuple>
+
+namespace gooseberry {
+
+namespace {
+
+/** What is lost by stopping tasks; lower is better, compared from top to bottom. */
+struct Loss
+{
+    /** Services go last: their callers notice at once. */
+    std::size_t services = 0;
+    /** Progress that no checkpoint keeps. */
+    std::chrono::nanoseconds progress{0};
+    std::size_t victims = 0;
+
+    auto operator<=>(const Loss &other) const = default;
+};
+
+using Progress = std::map<AttemptId, std::chrono::nanoseconds>;
+
+struct Plan
+{
+    std::vector<const RunningTask *> victims;
+    Loss loss;
+};
+
+bool mayBeVictim(const RunningTask &task)
+{
+    return task.jobClass != JobClass::Urgent && task.repeatable;
+}
+
+/** Returns what each task loses; a gang ends as a whole, so each of its tasks loses all of it. */
+Progress lostProgress(const std::vector<RunningTask> &running, SteadyTime now)
+{
+    std::map<JobId, std::chrono::nanoseconds> gangs;
+    Progress lost;
+    for (const RunningTask &task : running) {
+        const auto own = task.checkpointable ? std::chrono::nanoseconds(0)
+                                             : std::chrono::nanoseconds(now - task.startedAt);
+        lost[task.attempt] = own;
+        if (task.jobClass == JobClass::Gang) {
+            gangs[task.attempt.task.job] += own;
+        }
+    }
+    for (const RunningTask &task : running) {
+        if (task.jobClass == JobClass::Gang) {
+            lost[task.attempt] = gangs[task.attempt.task.job];
+        }
+    }
+    return lost;
+}
+
+/** Drops victims whose room turned out not to be needed, those that lose most first. */
+void dropUnneeded(Plan &plan, const Resources &free, const Resources &wanted,
+                  const Progress &progress)
+{
+    for (std::size_t index = plan.victims.size(); index-- > 0;) {
+        Resources room = free;
+        for (std::size_t other = 0; other < plan.victims.size(); ++other) {
+            room = other == index ? room : add(room, plan.victims[other]->amount).value_or(room);
+        }
+        if (!firstShortage(wanted, room)) {
+            plan.victims.erase(plan.victims.begin() + static_cast<std::ptrdiff_t>(index));
+        }
+    }
+    plan.loss = Loss{};
+    plan.loss.victims = plan.victims.size();
+    for (const RunningTask *victim : plan.victims) {
+        plan.loss.progress += progress.at(victim->attempt);
+        plan.loss.services += victim->jobClass == JobClass::Service ? 1 : 0;
+    }
+}
+
+std::optional<Plan> planFor(const Instance &instance, std::vector<const RunningTask *> tasks,
+                            const Resources &wanted, const Progress &progress)
+{
+    std::sort(tasks.begin(), tasks.end(), [&progress](const RunningTask *a, const RunningTask *b) {
+        const auto rank = [&progress](const RunningTask *task) {
+            return std::tuple(task->jobClass == JobClass::Service, task->jobClass == JobClass::Gang,
+                              progress.at(task->attempt), task->attempt);
+        };
+        return rank(a) < rank(b);
+    });
+    const Resources free = freeCapacity(instance);
+    Resources room = free;
+    Plan plan;
+    for (const RunningTask *task : tasks) {
+        if (!firstShortage(wanted, room)) {
+            break;
+        }
+        room = add(room, task->amount).value_or(room);
+        plan.victims.push_back(task);
+    }
+    if (firstShortage(wanted, room)) {
+        return std::nullopt;
+    }
+    dropUnneeded(plan, free, wanted, progress);
+    return plan;
+}
+
+/** Returns the victims, with all tasks of each gang that loses one. */
+std::vector<Victim> wholeGangs(const std::vector<const RunningTask *> &chosen,
+                               const std::vector<RunningTask> &running)
+{
+    std::set<AttemptId> attempts;
+    std::set<JobId> gangs;
+    for (const RunningTask *task : chosen) {
+        attempts.insert(task->attempt);
+        if (task->jobClass == JobClass::Gang) {
+            gangs.insert(task->attempt.task.job);
+        }
+    }
+    std::vector<Victim> victims;
+    for (const RunningTask &task : running) {
+        if (attempts.contains(task.attempt) || gangs.contains(task.attempt.task.job)) {
+            victims.push_back(Victim{.attempt = task.attempt,
+                                     .instance = task.instance,
+                                     .checkpoint = task.checkpointable});
+        }
+    }
+    return victims;
+}
+
+} // namespace
+
+PreemptionDecision choosePreemption(const UrgentNeed &need, const std::vector<Instance> &instances,
+                                    const std::vector<RunningTask> &running, SteadyTime now)
+{
+    PreemptionDecision decision;
+    decision.urgent = need.task;
+    if (firstShortage(need.amount, need.withinLimit)) {
+        decision.reason = Reason::TeamAtLimit;
+        return decision;
+    }
+    const Progress progress = lostProgress(running, now);
+    std::map<InstanceId, std::vector<const RunningTask *>> candidates;
+    for (const RunningTask &task : running) {
+        if (mayBeVictim(task)) {
+            candidates[task.instance].push_back(&task);
+        }
+    }
+    std::optional<Plan> best;
+    for (const Instance &instance : instances) {
+        const bool offers = need.service.empty() || instance.spec.upstream.service == need.service;
+        if (!offers || firstShortage(need.amount, instance.spec.capacity)) {
+            continue;
+        }
+        auto plan = planFor(instance, candidates[instance.spec.id], need.amount, progress);
+        if (plan && (!best || plan->loss < best->loss)) {
+            best = std::move(plan);
+            decision.instance = instance.spec.id;
+        }
+    }
+    if (best) {
+        decision.reason = Reason::PreemptedForUrgent;
+        decision.victims = wholeGangs(best->victims, running);
+    }
+    return decision;
+}
+
+} // namespace gooseberry
