Let the scheduler use quarantine, retries, reservations and moves

Cause: the decisions existed as functions, but the scheduler held none of the state that they need: what runs, what failed, what is learned.

Change: the scheduler keeps running attempts, health records and retry queues in shards. It leaves out quarantined instances and those of a returning failure domain that are not yet in its ramp, keeps room for one gang at a time, and names tasks to preempt, move or hold back. libs/cell compiles unchanged; it has to call taskStarted() and taskEnded() for the new parts to act.

--- a/libs/policy/include/policy/placement.h
+++ b/libs/policy/include/policy/placement.h
@@ -66,6 +66,8 @@
     ServiceIndex service;
     /** When the task ends by the corrected estimate; nothing when that is not known. */
     std::optional<SteadyTime> expectedEnd;
+    /** Urgent work and services come before gangs, so a gang's reservation does not bind them. */
+    bool ignoresReservations = false;
     /** Where the job's other tasks are; null to pack instead of spreading. */
     const SpreadCounts *spread = nullptr;
     /** Failure domains that hold more of the job's tasks than this are left out. */
--- a/libs/policy/src/placement.cpp
+++ b/libs/policy/src/placement.cpp
@@ -65,7 +65,7 @@
         && countAt(request.spread->perDomain, candidate.domain) > *request.domainCap) {
         return false;
     }
-    if (!candidate.heldUntil || candidate.heldFor == request.job) {
+    if (!candidate.heldUntil || candidate.heldFor == request.job || request.ignoresReservations) {
         return true;
     }
     return request.expectedEnd && *request.expectedEnd <= *candidate.heldUntil;
--- a/libs/scheduler/include/scheduler/round_types.h
+++ b/libs/scheduler/include/scheduler/round_types.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <set>
 #include <vector>
@@ -37,6 +38,22 @@
     std::set<FailureDomainId> domainsOut;
 };
 
+/** How an attempt ended. */
+enum class EndCause {
+    Succeeded,
+    Failed, ///< The worker ran the attempt and reports that it failed.
+    Stopped, ///< Cancelled, preempted, moved or lost with its worker; nobody's fault.
+};
+
+/** The end of an attempt that taskStarted() was called for. */
+struct TaskEnd
+{
+    AttemptId attempt;
+    InstanceId instance;
+    EndCause cause = EndCause::Succeeded;
+    SteadyTime at;
+};
+
 /**
  * Rules that a test switches off to prove that its checks notice. Nothing else sets them.
  */
@@ -47,6 +64,7 @@
     bool ignoreDomainsOut = false;
     bool splitGangs = false;
     bool keepStartedTasks = false;
+    bool loseReservations = false;
 };
 
 /** How a scheduler works; the defaults suit one decision thread and repeatable rounds. */
@@ -57,6 +75,14 @@
     /** Equal seeds and equal calls lead to equal decisions with one decision thread. */
     std::uint64_t seed = 1;
     CorrectionSettings correction;
+    QuarantineSettings quarantine;
+    RetrySettings retry;
+    ReservationSettings reservation;
+    EvacuationSettings evacuation;
+    /** After this, a task that was named for stopping and still runs may be named again. */
+    std::chrono::milliseconds stopTimeout{std::chrono::seconds(10)};
+    /** The most urgent tasks for which one call of preemptions() makes room. */
+    std::uint32_t preemptionsAtOnce = 16;
     RuleFaults faults;
 };
 
--- /dev/null
+++ b/libs/scheduler/src/retry_queue.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <array>
+#include <deque>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <vector>
+
+#include <base/base.h>
+#include <contract/contract.h>
+#include <policy/policy.h>
+
+namespace gooseberry {
+
+/** A task that waits for its team's retry budget. */
+struct RetryTask
+{
+    WaitingJob waiting;
+    std::shared_ptr<const JobSpec> spec;
+    std::uint32_t index = 0;
+    Attempt nextAttempt;
+};
+
+/** Failed tasks on their way back, in shards by team that each have their own lock. */
+class RetryQueue
+{
+public:
+    explicit RetryQueue(const RetrySettings &initialSettings);
+
+    void add(RetryTask task);
+    void countFirstTries(const TeamId &team, std::uint32_t tasks);
+    /** Returns the retries that the budgets allow now, oldest first within each team. */
+    std::vector<RetryTask> takeAllowed(SteadyTime now);
+    void removeJob(const JobId &job);
+    void clear();
+    std::uint32_t count(const QueueId &queue) const;
+    bool contains(const JobId &job) const;
+
+private:
+    struct TeamRetries
+    {
+        RetryBudget budget;
+        std::deque<RetryTask> tasks;
+    };
+    struct Shard
+    {
+        mutable std::mutex mutex;
+        std::map<TeamId, TeamRetries> teams;
+    };
+    static constexpr std::size_t shardCount = 16;
+
+    Shard &shardOf(const TeamId &team);
+
+    RetrySettings settings;
+    std::array<Shard, shardCount> shards;
+};
+
+} // namespace gooseberry
--- /dev/null
+++ b/libs/scheduler/src/scheduler_running.cpp
@@ -0,0 +1,182 @@
+#include <scheduler/scheduler_core.h>
+
+#include "health_table.h"
+#include "running_table.h"
+#include "waiting_table.h"
+
+namespace gooseberry {
+
+namespace {
+
+/** Counts an urgent task on the instance as if its victims had ended and it had started. */
+void occupy(std::vector<Instance> &instances, const PreemptionDecision &decision,
+            const Resources &amount, const std::vector<RunningTask> &running)
+{
+    for (Instance &instance : instances) {
+        Resources used = add(instance.promised, instance.reserved).value_or(instance.promised);
+        for (const RunningTask &task : running) {
+            for (const Victim &victim : decision.victims) {
+                if (victim.attempt == task.attempt && task.instance == instance.spec.id) {
+                    used = subtract(used, task.amount).value_or(Resources{});
+                }
+            }
+        }
+        if (instance.spec.id == *decision.instance) {
+            used = add(used, amount).value_or(used);
+        }
+        instance.promised = used;
+        instance.reserved = Resources{};
+    }
+}
+
+} // namespace
+
+void Scheduler::taskStarted(const RunningTask &task)
+{
+    this->running->started(task);
+}
+
+FaultDecision Scheduler::taskEnded(const TaskEnd &end)
+{
+    {
+        const std::lock_guard lock(this->stopMutex);
+        this->stopping.erase(end.attempt);
+    }
+    const auto usage = this->running->ended(end.attempt, end.instance);
+    if (end.cause == EndCause::Failed) {
+        return this->health->failed(end.attempt.task, end.instance, end.at);
+    }
+    if (end.cause == EndCause::Succeeded) {
+        this->health->succeeded(end.attempt.task, end.instance);
+        if (usage) {
+            const auto runTime = std::chrono::duration_cast<std::chrono::milliseconds>(
+                end.at - usage->task.startedAt);
+            this->running->learn(usage->task.team, usage->task.jobTemplate,
+                                 RunSample{.runTime = runTime, .peakUsage = usage->actual});
+        }
+    }
+    return {};
+}
+
+void Scheduler::reportUsage(const AttemptId &attempt, const InstanceId &instance,
+                            const Resources &actual)
+{
+    this->running->reported(attempt, instance, actual);
+}
+
+std::vector<PreemptionDecision> Scheduler::preemptions(const RoundInput &input)
+{
+    const std::lock_guard lock(this->roundMutex);
+    std::vector<UrgentNeed> needs
+        = this->waiting->urgentWithoutRoom(this->settings.preemptionsAtOnce);
+    std::erase_if(needs,
+                  [&](const UrgentNeed &need) { return this->isMakingRoom(need.task, input.now); });
+    if (needs.empty()) {
+        return {};
+    }
+    std::vector<Instance> instances = this->fleet.snapshot();
+    std::erase_if(instances, [&](const Instance &instance) {
+        return !takesNewWork(instance, input.domainsOut)
+            || this->seenAvoided.contains(instance.spec.id);
+    });
+    return this->makeRoom(std::move(needs), std::move(instances), input);
+}
+
+std::vector<PreemptionDecision> Scheduler::makeRoom(std::vector<UrgentNeed> needs,
+                                                    std::vector<Instance> instances,
+                                                    const RoundInput &input)
+{
+    std::vector<PreemptionDecision> decisions;
+    std::map<TeamId, Resources> decided;
+    std::vector<RunningTask> candidates = this->notStopping(input.now);
+    for (UrgentNeed &need : needs) {
+        Resources &teamDecided = decided[need.team];
+        need.withinLimit = this->withinLimit(need.team, teamDecided, input);
+        PreemptionDecision decision = choosePreemption(need, instances, candidates, input.now);
+        if (decision.instance) {
+            occupy(instances, decision, need.amount, candidates);
+            teamDecided = add(teamDecided, need.amount).value_or(teamDecided);
+            const std::lock_guard lock(this->stopMutex);
+            this->makingRoom[need.task] = input.now;
+            for (const Victim &victim : decision.victims) {
+                this->stopping[victim.attempt] = input.now;
+            }
+            std::erase_if(candidates, [this](const RunningTask &task) {
+                return this->stopping.contains(task.attempt);
+            });
+        }
+        decisions.push_back(std::move(decision));
+    }
+    return decisions;
+}
+
+Resources Scheduler::withinLimit(const TeamId &team, const Resources &decided,
+                                 const RoundInput &input) const
+{
+    const Team *declared = findTeam(*input.config, team);
+    const TeamUsage usage = this->ledger.usage(team);
+    Resources held = add(usage.running, usage.reserved).value_or(usage.running);
+    held = add(held, decided).value_or(held);
+    return declared == nullptr ? Resources{}
+                               : subtract(declared->limit.maximum, held).value_or(Resources{});
+}
+
+bool Scheduler::isMakingRoom(const TaskId &task, SteadyTime now) const
+{
+    const std::lock_guard lock(this->stopMutex);
+    const auto found = this->makingRoom.find(task);
+    return found != this->makingRoom.end() && now < found->second + this->settings.stopTimeout;
+}
+
+std::vector<MoveDecision> Scheduler::evacuations(const RoundInput &input)
+{
+    std::vector<RunningTask> candidates = this->notStopping(input.now);
+    const std::lock_guard lock(this->stopMutex);
+    std::erase_if(this->stopping, [&](const auto &entry) {
+        return entry.second + this->settings.stopTimeout <= input.now;
+    });
+    std::erase_if(this->makingRoom, [&](const auto &entry) {
+        return entry.second + this->settings.stopTimeout <= input.now;
+    });
+    std::vector<MoveDecision> moves
+        = chooseMoves(candidates, this->fleet.snapshot(), input.domainsOut, this->stopping.size(),
+                      this->settings.evacuation);
+    for (const MoveDecision &move : moves) {
+        this->stopping[move.attempt] = input.now;
+    }
+    return moves;
+}
+
+std::vector<CorrectionDecision> Scheduler::corrections(const InstanceId &instance, SteadyTime now)
+{
+    const auto found = this->fleet.find(instance);
+    if (!found) {
+        return {};
+    }
+    std::vector<CorrectionDecision> decisions = correctUsage(
+        found->spec.capacity, this->running->on(instance), this->settings.correction);
+    const std::lock_guard lock(this->stopMutex);
+    std::erase_if(decisions, [&](const CorrectionDecision &decision) {
+        const auto entry = this->stopping.find(decision.attempt);
+        return entry != this->stopping.end() && now < entry->second + this->settings.stopTimeout;
+    });
+    for (const CorrectionDecision &decision : decisions) {
+        if (decision.action == CorrectiveAction::Stop) {
+            this->stopping[decision.attempt] = now;
+        }
+    }
+    return decisions;
+}
+
+std::vector<RunningTask> Scheduler::notStopping(SteadyTime now) const
+{
+    std::vector<RunningTask> tasks = this->running->all();
+    const std::lock_guard lock(this->stopMutex);
+    std::erase_if(tasks, [&](const RunningTask &task) {
+        const auto found = this->stopping.find(task.attempt);
+        return found != this->stopping.end() && now < found->second + this->settings.stopTimeout;
+    });
+    return tasks;
+}
+
+} // namespace gooseberry
--- a/libs/scheduler/src/scheduling_round.cpp
+++ b/libs/scheduler/src/scheduling_round.cpp
@@ -72,7 +72,7 @@
     return groups;
 }
 
-const std::optional<UnplacedGang> &SchedulingRound::firstUnplacedGang() const
+const std::optional<GangNeed> &SchedulingRound::firstUnplacedGang() const
 {
     return this->unplacedGang;
 }
@@ -168,11 +168,11 @@
         const bool waitsForRoom
             = pick.reason == Reason::NoCapacity || pick.reason == Reason::RoomReserved;
         const bool first = !this->unplacedGang || pick.sequence < this->unplacedSequence;
-        if (pick.work.spec->jobClass == JobClass::Gang && waitsForRoom && first) {
+        if (pick.work.spec->jobClass == JobClass::Gang && waitsForRoom && first
+            && !this->parts.pausedGangs.contains(pick.work.waiting.id)) {
             this->unplacedSequence = pick.sequence;
-            this->unplacedGang = UnplacedGang{
+            this->unplacedGang = GangNeed{
                 .job = pick.work.waiting.id,
-                .team = pick.work.waiting.team,
                 .perTask = pick.work.spec->perTask,
                 .tasks = static_cast<std::uint32_t>(pick.work.tasks.size()),
                 .service = pick.work.spec->service,
@@ -186,6 +186,7 @@
     PlacementRequest request;
     request.job = work.waiting.id;
     request.amount = work.spec->perTask;
+    request.ignoresReservations = orderStepOf(work.spec->jobClass) != OrderStep::Batch;
     request.service = this->parts.view.serviceIndex(work.spec->service);
     const auto runTime = correctedRunTime(
         *work.spec, this->parts.running.estimate(work.waiting.team, work.spec->jobTemplate),
--- a/libs/scheduler/src/scheduling_round.h
+++ b/libs/scheduler/src/scheduling_round.h
@@ -29,21 +29,13 @@
     FleetView &view;
     const RoundInput &input;
     const SchedulerSettings &settings;
+    /** Gangs that get no reservation now. */
+    const std::map<JobId, SteadyTime> &pausedGangs;
     std::uint64_t capacityVersion = 0;
     /** The gang that holds a reservation, if any. */
     JobId reservedFor;
 };
 
-/** A gang that fits the fleet but not what is free now. */
-struct UnplacedGang
-{
-    JobId job;
-    TeamId team;
-    Resources perTask;
-    std::uint32_t tasks = 0;
-    std::string service;
-};
-
 /**
  * One pass over what waits. Several threads may call work() at the same time: who is next is
  * decided under one short lock, and places are searched outside of it.
@@ -59,7 +51,7 @@
     /** Returns the decisions by job, in the order in which jobs were first chosen. */
     std::vector<StartGroup> takeGroups();
     /** Returns the gang that was first in line among those that found no room. */
-    const std::optional<UnplacedGang> &firstUnplacedGang() const;
+    const std::optional<GangNeed> &firstUnplacedGang() const;
 
 private:
     struct Pick
@@ -97,7 +89,7 @@
     std::uint64_t nextSequence = 0;
     std::vector<std::pair<std::uint64_t, StartGroup>> decided;
     std::map<Shape, Reason> failures;
-    std::optional<UnplacedGang> unplacedGang;
+    std::optional<GangNeed> unplacedGang;
     std::uint64_t unplacedSequence = 0;
     /** One gang at a time tries, so that two of them can't each take half of the room. */
     std::mutex gangMutex;
--- a/libs/scheduler/src/waiting_table.cpp
+++ b/libs/scheduler/src/waiting_table.cpp
@@ -119,6 +119,41 @@
     return all;
 }
 
+bool WaitingTable::contains(const JobId &job) const
+{
+    return this->teamOf(job).has_value();
+}
+
+std::vector<UrgentNeed> WaitingTable::urgentWithoutRoom(std::size_t most) const
+{
+    std::vector<UrgentNeed> needs;
+    for (const TeamShard &shard : this->teamShards) {
+        const std::lock_guard lock(shard.mutex);
+        for (const auto &[team, queue] : shard.teams) {
+            for (const BucketKey &key : queue.blocked) {
+                const Bucket &bucket = queue.buckets.at(key);
+                if (key.first != OrderStep::Urgent || bucket.blocked != Reason::NoCapacity) {
+                    continue;
+                }
+                for (const auto &[submitted, job] : bucket.jobs) {
+                    const Entry &entry = queue.jobs.at(job);
+                    for (const auto &[index, attempt] : entry.tasks) {
+                        if (needs.size() >= most) {
+                            return needs;
+                        }
+                        needs.push_back(UrgentNeed{.task = TaskId{.job = job, .index = index},
+                                                   .team = team,
+                                                   .amount = entry.spec->perTask,
+                                                   .service = entry.spec->service,
+                                                   .withinLimit = {}});
+                    }
+                }
+            }
+        }
+    }
+    return needs;
+}
+
 std::optional<Reason> WaitingTable::whyWaiting(const JobId &job) const
 {
     const auto team = this->teamOf(job);
--- a/libs/scheduler/src/waiting_table.h
+++ b/libs/scheduler/src/waiting_table.h
@@ -73,6 +73,9 @@
     std::uint32_t pendingTasks() const;
     /** Returns teams that have jobs waiting, ordered by id. */
     std::vector<TeamId> teams() const;
+    bool contains(const JobId &job) const;
+    /** Returns urgent tasks that found no room, oldest first within each team, at most so many. */
+    std::vector<UrgentNeed> urgentWithoutRoom(std::size_t most) const;
     std::optional<Reason> whyWaiting(const JobId &job) const;
 
     /** Offers again what was blocked and may now succeed, and jobs whose delay is over. */
