--- a/libs/scheduler/src/scheduler_core.cpp
+++ b/libs/scheduler/src/scheduler_core.cpp
@@ -1,181 +1,249 @@
 #include <scheduler/scheduler_core.h>
 
-#include <algorithm>
+#include "fleet_view.h"
+#include "health_table.h"
+#include "retry_queue.h"
+#include "round_threads.h"
+#include "running_table.h"
+#include "scheduling_round.h"
+#include "waiting_table.h"
 
 namespace gooseberry {
 
-namespace {
-
-void adjustReserved(std::vector<Instance> &instances, const StartDecision &decision, bool take)
-{
-    const auto found
-        = std::find_if(instances.begin(), instances.end(), [&decision](const Instance &instance) {
-              return instance.spec.id == decision.instance;
-          });
-    if (found != instances.end()) {
-        const auto next = take ? add(found->reserved, decision.amount)
-                               : subtract(found->reserved, decision.amount);
-        found->reserved = next.value_or(found->reserved);
-    }
-}
-
-} // namespace
-
-Scheduler::Scheduler(Fleet &initialFleet, TeamLedger &initialLedger)
+Scheduler::Scheduler(Fleet &initialFleet, TeamLedger &initialLedger,
+                     const SchedulerSettings &initialSettings)
     : fleet(initialFleet)
     , ledger(initialLedger)
+    , settings(initialSettings)
+    , waiting(std::make_unique<WaitingTable>())
+    , running(std::make_unique<RunningTable>(initialSettings.correction))
+    , health(std::make_unique<HealthTable>(initialSettings.quarantine))
+    , retries(std::make_unique<RetryQueue>(initialSettings.retry))
+    , threads(std::make_unique<RoundThreads>(initialSettings.decisionThreads))
 {
 }
 
+Scheduler::~Scheduler() = default;
+
 void Scheduler::addTask(const WaitingJob &job, const std::shared_ptr<const JobSpec> &spec,
                         std::uint32_t index, Attempt nextAttempt)
 {
-    const std::lock_guard lock(this->mutex);
-    PendingJob &entry = this->pending[job.id];
-    entry.waiting = job;
-    entry.spec = spec;
-    entry.tasks[index] = nextAttempt;
+    const TaskId task{.job = job.id, .index = index};
+    if (this->health->takeFailed(task)) {
+        this->retries->add(
+            RetryTask{.waiting = job, .spec = spec, .index = index, .nextAttempt = nextAttempt});
+        return;
+    }
+    if (nextAttempt <= Attempt(1)) {
+        this->retries->countFirstTries(job.team, 1);
+    }
+    this->waiting->add(job, spec, index, nextAttempt);
+    if (const auto hold = this->health->hold(job.id)) {
+        this->waiting->delay(job.id, hold->until, hold->reason);
+    }
 }
 
 void Scheduler::removeJob(const JobId &job)
 {
-    const std::lock_guard lock(this->mutex);
-    this->pending.erase(job);
-    this->reasons.erase(job);
+    this->waiting->remove(job);
+    this->retries->removeJob(job);
+    this->health->forgetJob(job);
 }
 
 void Scheduler::clear()
 {
-    const std::lock_guard lock(this->mutex);
-    this->pending.clear();
-    this->reasons.clear();
+    this->waiting->clear();
+    this->running->clear();
+    this->health->clear();
+    this->retries->clear();
+    {
+        const std::lock_guard lock(this->roundMutex);
+        this->room.reset();
+        this->pausedGangs.clear();
+        this->returned.clear();
+    }
+    const std::lock_guard lock(this->stopMutex);
+    this->stopping.clear();
+    this->makingRoom.clear();
 }
 
 std::uint32_t Scheduler::pendingTasks(const QueueId &queue) const
 {
-    const std::lock_guard lock(this->mutex);
-    std::uint32_t count = 0;
-    for (const auto &[id, job] : this->pending) {
-        if (job.spec->queue == queue) {
-            count += static_cast<std::uint32_t>(job.tasks.size());
-        }
-    }
-    return count;
+    return this->waiting->pendingTasks(queue) + this->retries->count(queue);
+}
+
+std::uint32_t Scheduler::pendingTasks() const
+{
+    return this->waiting->pendingTasks();
 }
 
 std::vector<StartGroup> Scheduler::runRound(const RoundInput &input)
 {
-    const std::lock_guard lock(this->mutex);
-    std::vector<StartGroup> groups;
-    if (this->pending.empty()) {
-        return groups;
-    }
-    std::vector<Instance> instances = this->fleet.snapshot();
-    for (const WaitingJob &next : this->ordered(input)) {
-        PendingJob &job = this->pending.at(next.id);
-        const Team *team = findTeam(*input.config, next.team);
-        const Limit limit = team != nullptr ? team->limit : Limit{};
-        StartGroup group = this->placeJob(job, input, limit, instances);
-        if (!group.starts.empty()) {
-            groups.push_back(std::move(group));
-        }
-        if (job.tasks.empty()) {
-            this->pending.erase(next.id);
-            this->reasons.erase(next.id);
+    const std::lock_guard lock(this->roundMutex);
+    this->noteDomains(input);
+    this->expireReservation(input.now);
+    this->admitRetries(input.now);
+    if (this->waiting->pendingTasks() == 0) {
+        return {};
+    }
+    const std::vector<Instance> instances = this->fleet.snapshot();
+    const std::set<InstanceId> avoided = this->avoidedInstances(instances, input.now);
+    std::vector<HeldInstance> held;
+    if (this->room) {
+        for (const InstanceId &instance : this->room->reservation.instances) {
+            held.push_back(HeldInstance{.instance = instance,
+                                        .job = this->room->reservation.job,
+                                        .until = this->room->expectedStart});
         }
     }
+    const bool ignoreDomains = this->settings.faults.ignoreDomainsOut;
+    FleetView view(instances, ignoreDomains ? std::set<FailureDomainId>{} : input.domainsOut,
+                   avoided, held);
+    SchedulingRound round(
+        RoundParts{.fleet = this->fleet,
+                   .ledger = this->ledger,
+                   .waiting = *this->waiting,
+                   .running = *this->running,
+                   .view = view,
+                   .input = input,
+                   .settings = this->settings,
+                   .pausedGangs = this->pausedGangs,
+                   .capacityVersion = this->updateCapacityVersion(input, avoided),
+                   .reservedFor = this->room ? this->room->reservation.job : JobId{}});
+    this->threads->run([&](unsigned thread) { round.work(thread, this->threads->count()); });
+    std::vector<StartGroup> groups = round.takeGroups();
+    this->updateReservation(round, groups, instances, input);
     return groups;
 }
 
 void Scheduler::settle(const StartDecision &decision)
 {
+    if (this->settings.faults.loseReservations) {
+        return;
+    }
     this->fleet.releaseReservation(decision.instance, decision.amount);
     this->ledger.releaseReservation(decision.team, decision.amount);
 }
 
 Reason Scheduler::whyWaiting(const JobId &job) const
 {
-    const std::lock_guard lock(this->mutex);
-    const auto found = this->reasons.find(job);
-    return found == this->reasons.end() ? Reason::Accepted : found->second;
+    if (const auto reason = this->waiting->whyWaiting(job)) {
+        return *reason;
+    }
+    return this->retries->contains(job) ? Reason::RetryBudgetSpent : Reason::Accepted;
 }
 
-std::vector<WaitingJob> Scheduler::ordered(const RoundInput &input) const
+void Scheduler::admitRetries(SteadyTime now)
 {
-    std::vector<WaitingJob> jobs;
-    jobs.reserve(this->pending.size());
-    for (const auto &[id, job] : this->pending) {
-        jobs.push_back(job.waiting);
-    }
-    const Resources capacity = this->fleet.totalCapacity();
-    std::vector<TeamStanding> standings;
-    for (const Customer &customer : input.config->customers) {
-        for (const Team &team : customer.teams) {
-            const TeamUsage usage = this->ledger.usage(team.id);
-            const Resources held = add(usage.running, usage.reserved).value_or(usage.running);
-            standings.push_back(TeamStanding{.team = team.id,
-                                             .share = team.share,
-                                             .dominantShare = dominantShare(held, capacity)});
+    for (const RetryTask &task : this->retries->takeAllowed(now)) {
+        this->waiting->add(task.waiting, task.spec, task.index, task.nextAttempt);
+        if (const auto hold = this->health->hold(task.waiting.id)) {
+            this->waiting->delay(task.waiting.id, hold->until, hold->reason);
         }
     }
-    return orderJobs(std::move(jobs), standings);
 }
 
-StartGroup Scheduler::placeJob(PendingJob &job, const RoundInput &input, const Limit &limit,
-                               std::vector<Instance> &instances)
+void Scheduler::noteDomains(const RoundInput &input)
 {
-    StartGroup group;
-    group.job = job.waiting.id;
-    group.allOrNone = job.spec->jobClass == JobClass::Gang;
-    for (const auto &[index, attempt] : job.tasks) {
-        if (!this->placeTask(job, index, input, limit, instances, group)) {
-            break;
+    for (const FailureDomainId &domain : this->seenDomainsOut) {
+        if (!input.domainsOut.contains(domain)) {
+            this->returned[domain] = input.now;
         }
     }
-    if (group.allOrNone && group.starts.size() < job.tasks.size()) {
-        this->undo(group, instances);
+    std::erase_if(this->returned, [&](const auto &entry) {
+        return input.domainsOut.contains(entry.first)
+            || entry.second + this->settings.evacuation.ramp <= input.now;
+    });
+}
+
+std::set<InstanceId> Scheduler::avoidedInstances(const std::vector<Instance> &instances,
+                                                 SteadyTime now) const
+{
+    std::set<InstanceId> avoided = this->health->quarantined(now);
+    if (this->returned.empty()) {
+        return avoided;
     }
-    for (const StartDecision &decision : group.starts) {
-        job.tasks.erase(decision.attempt.task.index);
+    for (const Instance &instance : instances) {
+        const auto found = this->returned.find(instance.spec.domain);
+        if (found == this->returned.end()) {
+            continue;
+        }
+        const auto since
+            = std::chrono::duration_cast<std::chrono::milliseconds>(now - found->second);
+        if (!isWithinRamp(instance.spec.id, rampFraction(since, this->settings.evacuation))) {
+            avoided.insert(instance.spec.id);
+        }
     }
-    return group;
+    return avoided;
 }
 
-bool Scheduler::placeTask(const PendingJob &job, std::uint32_t index, const RoundInput &input,
-                          const Limit &limit, std::vector<Instance> &instances, StartGroup &group)
+std::uint64_t Scheduler::updateCapacityVersion(const RoundInput &input,
+                                               const std::set<InstanceId> &avoided)
 {
-    StartDecision decision;
-    decision.attempt = AttemptId{.task = TaskId{.job = job.waiting.id, .index = index},
-                                 .attempt = job.tasks.at(index)};
-    decision.team = job.waiting.team;
-    decision.amount = job.spec->perTask;
-    decision.choice = choosePlacement(*job.spec, instances, input.domainsOut);
-    if (!decision.choice.instance) {
-        this->reasons[job.waiting.id] = decision.choice.reason;
-        return false;
+    const std::uint64_t membership = this->fleet.membershipVersion();
+    if (membership != this->seenMembership || input.domainsOut != this->seenDomainsOut
+        || avoided != this->seenAvoided) {
+        this->seenMembership = membership;
+        this->seenAvoided = avoided;
+        ++this->capacityVersion;
     }
-    decision.instance = *decision.choice.instance;
-    if (!ok(this->ledger.reserve(decision.team, decision.amount, limit))) {
-        this->reasons[job.waiting.id] = Reason::TeamAtLimit;
-        return false;
+    this->seenDomainsOut = input.domainsOut;
+    return this->capacityVersion;
+}
+
+void Scheduler::expireReservation(SteadyTime now)
+{
+    std::erase_if(this->pausedGangs, [now](const auto &entry) { return entry.second <= now; });
+    if (!this->room) {
+        return;
     }
-    if (!ok(this->fleet.reserve(decision.instance, decision.amount))) {
-        this->ledger.releaseReservation(decision.team, decision.amount);
-        this->reasons[job.waiting.id] = Reason::NoCapacity;
-        return false;
+    const JobId job = this->room->reservation.job;
+    if (!this->waiting->contains(job)) {
+        this->room.reset();
+    } else if (this->room->reservation.end <= now) {
+        this->pausedGangs[job] = now + this->settings.reservation.pause;
+        this->room.reset();
     }
-    adjustReserved(instances, decision, true);
-    group.starts.push_back(std::move(decision));
-    return true;
 }
 
-void Scheduler::undo(StartGroup &group, std::vector<Instance> &instances)
+void Scheduler::updateReservation(const SchedulingRound &round,
+                                  const std::vector<StartGroup> &groups,
+                                  const std::vector<Instance> &instances, const RoundInput &input)
 {
-    for (const StartDecision &decision : group.starts) {
-        this->settle(decision);
-        adjustReserved(instances, decision, false);
+    for (const StartGroup &group : groups) {
+        if (this->room && group.job == this->room->reservation.job) {
+            this->room.reset();
+        }
     }
-    group.starts.clear();
+    const auto &gang = round.firstUnplacedGang();
+    if (this->room || !gang) {
+        return;
+    }
+    std::vector<Instance> usable;
+    for (const Instance &instance : instances) {
+        if (takesNewWork(instance, input.domainsOut)
+            && !this->seenAvoided.contains(instance.spec.id)) {
+            // What this round has placed counts; the snapshot is from before it.
+            usable.push_back(this->fleet.find(instance.spec.id).value_or(instance));
+        }
+    }
+    this->room
+        = reserveRoom(*gang, usable, this->running->all(), input.now, this->settings.reservation);
+    if (!this->room) {
+        // No set of instances gets free in time; looking again each round would only cost.
+        this->pausedGangs[gang->job] = input.now + this->settings.reservation.pause;
+    }
+}
+
+std::set<InstanceId> Scheduler::quarantined(SteadyTime now) const
+{
+    return this->health->quarantined(now);
+}
+
+std::optional<Reservation> Scheduler::reservation() const
+{
+    const std::lock_guard lock(this->roundMutex);
+    return this->room ? std::optional(this->room->reservation) : std::nullopt;
 }
 
 } // namespace gooseberry
