--- /dev/null
+++ b/libs/journal/src/durable_log.cpp
@@ -0,0 +1,328 @@
+#include <journal/durable_log.h>
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <limits>
+
+#include "encoding.h"
+#include "frame.h"
+
+namespace gooseberry {
+
+namespace {
+
+/** A frame's size field has 32 bits; this keeps far below it. */
+constexpr std::size_t maxFrameSize = std::size_t{1} << 30U;
+
+std::string segmentName(std::uint64_t sequence)
+{
+    std::array<char, 40> name{};
+    std::snprintf(name.data(), name.size(), "segment-%020llu.log",
+                  static_cast<unsigned long long>(sequence));
+    return name.data();
+}
+
+bool isSegment(const std::string &name)
+{
+    return name.starts_with("segment-") && name.ends_with(".log");
+}
+
+} // namespace
+
+DurableLog::DurableLog(FileSystem &fileSystem, Settings initialSettings)
+    : files(fileSystem)
+    , settings(std::move(initialSettings))
+{
+}
+
+Result<std::unique_ptr<DurableLog>> DurableLog::open(FileSystem &files, Settings settings)
+{
+    std::unique_ptr<DurableLog> log(new DurableLog(files, std::move(settings)));
+    if (const Status status = log->recover(); !ok(status)) {
+        return errorOf(status);
+    }
+    return log;
+}
+
+Status DurableLog::append(LogIndex firstNew, const std::vector<std::string> &records)
+{
+    if (this->failure) {
+        return *this->failure;
+    }
+    if (firstNew > this->nextIndex() || firstNew < this->firstIndex()) {
+        return storeError(ErrorCode::InvalidArgument,
+                          "append at " + std::to_string(firstNew.value) + " to a log of "
+                              + std::to_string(this->firstIndex().value) + " to before "
+                              + std::to_string(this->nextIndex().value));
+    }
+    const std::string frame = encodeFrame(firstNew, records);
+    if (frame.size() > maxFrameSize) {
+        return storeError(ErrorCode::TooLarge, "batch of " + std::to_string(frame.size()));
+    }
+    if (this->segments.empty()
+        || this->segments.back().size
+            >= static_cast<std::uint64_t>(this->settings.segmentSize.value)) {
+        if (Status status = this->beginSegment(this->nextIndex()); !ok(status)) {
+            return status;
+        }
+    }
+    Segment &segment = this->segments.back();
+    if (const Status status = segment.file->append(frame); !ok(status)) {
+        return this->undoAppend(segment, errorOf(status));
+    }
+    if (const Status status = segment.file->sync(); !ok(status)) {
+        return this->fail(errorOf(status));
+    }
+    this->index(segment, segment.size, frame);
+    segment.size += frame.size();
+    return Done{};
+}
+
+Status DurableLog::undoAppend(Segment &segment, const Error &cause)
+{
+    // The truncation is synced, since a later segment must not follow a damaged end of this one.
+    Status status = segment.file->truncate(segment.size);
+    if (ok(status)) {
+        status = segment.file->sync();
+    }
+    if (!ok(status)) {
+        return this->fail(errorOf(status));
+    }
+    return cause.code == ErrorCode::StorageFull ? cause : this->fail(cause);
+}
+
+Result<std::string> DurableLog::read(LogIndex index) const
+{
+    Location location;
+    {
+        const std::lock_guard lock(this->mutex);
+        if (index < this->first || index.value >= this->first.value + this->locations.size()) {
+            return storeError(ErrorCode::NotFound, "no record " + std::to_string(index.value));
+        }
+        location = this->locations[index.value - this->first.value];
+    }
+    auto bytes = location.file->read(location.offset, location.size);
+    if (ok(bytes) && checksumOf(valueOf(bytes)) != location.checksum) {
+        return corruptAt((this->settings.folder / segmentName(location.sequence)).string(),
+                         location.offset, "checksum mismatch");
+    }
+    return bytes;
+}
+
+Status DurableLog::truncatePrefix(LogIndex newFirst)
+{
+    if (this->failure) {
+        return *this->failure;
+    }
+    if (newFirst > this->nextIndex()) {
+        if (Status status = this->beginSegment(newFirst); !ok(status)) {
+            return status;
+        }
+        {
+            const std::lock_guard lock(this->mutex);
+            this->locations.clear();
+            this->first = newFirst;
+        }
+        return this->removeSegmentsBefore(this->segments.back().sequence);
+    }
+    std::uint64_t keep = this->segments.empty() ? 0 : this->segments.back().sequence;
+    {
+        const std::lock_guard lock(this->mutex);
+        while (this->first < newFirst) {
+            this->locations.pop_front();
+            this->first.value += 1;
+        }
+        keep = this->locations.empty() ? keep : this->locations.front().sequence;
+    }
+    return this->removeSegmentsBefore(keep);
+}
+
+LogIndex DurableLog::firstIndex() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->first;
+}
+
+LogIndex DurableLog::nextIndex() const
+{
+    const std::lock_guard lock(this->mutex);
+    return LogIndex(this->first.value + this->locations.size());
+}
+
+Bytes DurableLog::size() const
+{
+    std::uint64_t total = 0;
+    for (const Segment &segment : this->segments) {
+        total += segment.size;
+    }
+    return Bytes(static_cast<std::int64_t>(total));
+}
+
+Status DurableLog::beginSegment(LogIndex firstNew)
+{
+    Segment segment;
+    segment.sequence = this->segments.empty() ? 1 : this->segments.back().sequence + 1;
+    segment.path = this->settings.folder / segmentName(segment.sequence);
+    auto created = this->files.create(segment.path);
+    if (!ok(created)) {
+        return errorOf(created);
+    }
+    segment.file = std::move(valueOf(created));
+    segment.size = segmentHeaderSize;
+    Status status = segment.file->append(
+        encodeSegmentHeader(SegmentHeader{.sequence = segment.sequence, .first = firstNew}));
+    if (!ok(status)) {
+        // The next attempt empties the file again.
+        return status;
+    }
+    status = segment.file->sync();
+    if (ok(status)) {
+        status = this->files.syncFolder(this->settings.folder);
+    }
+    if (!ok(status)) {
+        return this->fail(errorOf(status));
+    }
+    this->segments.push_back(std::move(segment));
+    return Done{};
+}
+
+Status DurableLog::removeSegmentsBefore(std::uint64_t sequence)
+{
+    // Oldest first, and each removal synced, so that no gap can arise between the files.
+    while (!this->segments.empty() && this->segments.front().sequence < sequence) {
+        Status status = this->files.remove(this->segments.front().path);
+        if (ok(status)) {
+            status = this->files.syncFolder(this->settings.folder);
+        }
+        if (!ok(status)) {
+            return this->fail(errorOf(status));
+        }
+        this->segments.pop_front();
+    }
+    return Done{};
+}
+
+void DurableLog::index(const Segment &segment, std::uint64_t frameOffset, const std::string &frame)
+{
+    const FrameHeader header{.bodySize = 0,
+                             .first = LogIndex(numberAt<std::uint64_t>(frame, 16)),
+                             .count = numberAt<std::uint32_t>(frame, 24)};
+    const std::lock_guard lock(this->mutex);
+    if (header.first < this->first) {
+        this->first = header.first;
+        this->locations.clear();
+    }
+    this->locations.resize(header.first.value - this->first.value);
+    std::size_t position = frameHeaderSize;
+    for (std::uint32_t number = 0; number < header.count; ++number) {
+        const auto size = numberAt<std::uint32_t>(frame, position);
+        position += sizeof size;
+        this->locations.push_back(
+            Location{.sequence = segment.sequence,
+                     .file = segment.file,
+                     .offset = frameOffset + position,
+                     .size = size,
+                     .checksum = checksumOf(std::string_view(frame).substr(position, size))});
+        position += size;
+    }
+}
+
+Error DurableLog::fail(Error error)
+{
+    error.message += "; the log is unusable until a restart";
+    error.code = error.code == ErrorCode::StorageFull ? ErrorCode::Internal : error.code;
+    this->failure = error;
+    return error;
+}
+
+Status DurableLog::recover()
+{
+    if (Status status = this->files.createFolder(this->settings.folder); !ok(status)) {
+        return status;
+    }
+    const auto listed = this->files.list(this->settings.folder);
+    if (!ok(listed)) {
+        return errorOf(listed);
+    }
+    std::vector<std::string> names = valueOf(listed);
+    std::erase_if(names, [](const std::string &name) { return !isSegment(name); });
+    for (const std::string &name : names) {
+        if (Status status = this->recoverSegment(name, name == names.back()); !ok(status)) {
+            return status;
+        }
+    }
+    return Done{};
+}
+
+Status DurableLog::recoverSegment(const std::string &name, bool last)
+{
+    Segment segment;
+    segment.path = this->settings.folder / name;
+    auto opened = this->files.open(segment.path);
+    if (!ok(opened)) {
+        return errorOf(opened);
+    }
+    segment.file = std::move(valueOf(opened));
+    const auto size = segment.file->size();
+    const auto bytes = ok(size) ? segment.file->read(0, valueOf(size)) : Result<std::string>("");
+    if (!ok(size) || !ok(bytes)) {
+        return ok(size) ? errorOf(bytes) : errorOf(size);
+    }
+    const auto header = segmentHeaderOf(valueOf(bytes));
+    if (!header) {
+        if (last && !intactFrameFollows(valueOf(bytes), 0)) {
+            return this->dropTornSegment(segment);
+        }
+        return corruptAt(segment.path.string(), 0, "damaged segment header");
+    }
+    segment.sequence = header->sequence;
+    if (segmentName(header->sequence) != name
+        || (!this->segments.empty() && header->sequence != this->segments.back().sequence + 1)) {
+        return corruptAt(segment.path.string(), 0, "segment out of sequence");
+    }
+    if (this->segments.empty() || header->first > this->nextIndex()) {
+        this->first = header->first;
+        this->locations.clear();
+    }
+    segment.size = segmentHeaderSize;
+    if (Status status = this->recoverFrames(segment, valueOf(bytes), last); !ok(status)) {
+        return status;
+    }
+    this->segments.push_back(std::move(segment));
+    return Done{};
+}
+
+Status DurableLog::recoverFrames(Segment &segment, const std::string &bytes, bool last)
+{
+    while (segment.size < bytes.size()) {
+        const auto frame = frameAt(bytes, segment.size);
+        if (!frame) {
+            break;
+        }
+        if (frame->first > this->nextIndex()) {
+            return corruptAt(segment.path.string(), segment.size, "gap between records");
+        }
+        const std::size_t frameSize = frameHeaderSize + frame->bodySize;
+        this->index(segment, segment.size, bytes.substr(segment.size, frameSize));
+        segment.size += frameSize;
+    }
+    if (segment.size == bytes.size()) {
+        return Done{};
+    }
+    // A frame is written only after the one before it was synced. So only the last frame can be
+    // torn, and an intact frame after a damaged one shows that synced data has changed.
+    if (!last || intactFrameFollows(bytes, segment.size + 1)) {
+        return corruptAt(segment.path.string(), segment.size, "damaged record");
+    }
+    Status status = segment.file->truncate(segment.size);
+    return ok(status) ? segment.file->sync() : status;
+}
+
+Status DurableLog::dropTornSegment(const Segment &segment)
+{
+    Status status = this->files.remove(segment.path);
+    return ok(status) ? this->files.syncFolder(this->settings.folder) : status;
+}
+
+} // namespace gooseberry
