--- a/libs/journal/include/journal/journal.h
+++ b/libs/journal/include/journal/journal.h
@@ -5,5 +5,6 @@
 
 #include <journal/durable_log.h>
 #include <journal/file_system.h>
+#include <journal/memory_file_system.h>
 #include <journal/metadata_file.h>
 #include <journal/snapshot_store.h>
--- a/libs/quorum/include/quorum/messages.h
+++ b/libs/quorum/include/quorum/messages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <set>
 #include <string>
 #include <variant>
@@ -10,11 +11,19 @@
 
 namespace gooseberry {
 
+/** Names one data folder. It is drawn at random when the folder is first used. */
+using DiskId = StrongId<struct DiskTag, std::uint64_t>;
+
 /** Who takes part in the log. Learners receive entries but count in no quorum. */
 struct Membership
 {
     std::set<InstanceId> voters;
     std::set<InstanceId> learners;
+    /**
+     * The data folder that each voter had when it became one. A voter with another data folder has
+     * lost what it promised, so it neither votes nor counts until it is removed and added again.
+     */
+    std::map<InstanceId, DiskId> disks;
 
     bool operator==(const Membership &other) const = default;
 };
@@ -36,7 +45,10 @@
     bool operator==(const LogEntry &other) const = default;
 };
 
-/** Asks whether an election could be won, without disturbing a leader that is alive. */
+/**
+ * Asks whether an election could be won, without disturbing a leader that is alive. With term 0,
+ * asks whether the receiver is ready to become part of a new cell.
+ */
 struct PreVote
 {
     Term term;
@@ -46,10 +58,15 @@
     bool operator==(const PreVote &other) const = default;
 };
 
+/**
+ * The term is the one asked for when granted, otherwise the receiver's own. A refusal of term 0
+ * with a higher term says that a log exists already.
+ */
 struct PreVoteReply
 {
     Term term;
     bool granted = false;
+    DiskId disk;
 
     bool operator==(const PreVoteReply &other) const = default;
 };
@@ -94,6 +111,7 @@
     /** The last index known to be equal; after a refusal, where to try next. */
     LogIndex matchIndex;
     std::uint64_t round = 0;
+    DiskId disk;
 
     bool operator==(const AppendReply &other) const = default;
 };
@@ -112,11 +130,14 @@
     bool operator==(const InstallSnapshot &other) const = default;
 };
 
+/** The next offset that the receiver waits for. */
 struct InstallSnapshotReply
 {
     Term term;
     LogIndex lastIndex;
     std::uint64_t nextOffset = 0;
+    /** The receiver needs no more of this snapshot; ordinary entries can follow. */
+    bool complete = false;
 
     bool operator==(const InstallSnapshotReply &other) const = default;
 };
--- a/libs/quorum/include/quorum/replica.h
+++ b/libs/quorum/include/quorum/replica.h
@@ -11,7 +11,19 @@
 
 namespace gooseberry {
 
-/** Times and sizes of a replica. */
+/**
+ * Times and sizes of a replica.
+ *
+ * A new cell: give all first voters the same initialMembership and bootstrap. The first of them by
+ * name creates the cell once all the others have answered that they have no log, so all must run
+ * once at the same time. Bootstrap has no effect on a data folder that is in use.
+ *
+ * A voter that has lost its disk: start it with an empty data folder. It neither votes nor counts
+ * in a quorum, also with bootstrap, since the membership names the data folder that it had. The
+ * operator calls, on the leader and each after the one before is done, remove(), addLearner() and,
+ * when it has caught up, promoteLearner(). Until then one more voter fewer can be lost. A removed
+ * replica is not told so; stop it.
+ */
 struct ReplicaSettings
 {
     InstanceId self;
@@ -29,9 +41,14 @@
     Bytes snapshotInterval{64LL * 1024 * 1024};
     /** Seed of the election timeout's jitter. */
     std::uint64_t seed = 0;
+    /** Proposals that one append with one sync may hold; 1 turns group commit off. */
+    std::size_t maxBatch = 4096;
 };
 
-/** What the committed entries are applied to. All calls come from one thread of the replica. */
+/**
+ * What the committed entries are applied to. All calls come from one thread of the replica, except
+ * that start() restores the snapshot on its caller's thread before that thread runs.
+ */
 class StateMachine
 {
 public:
@@ -68,6 +85,8 @@
     Membership membership;
     /** Set while the disk can't take another record. */
     bool storageFull = false;
+    /** Set after a failed sync or damaged data; the replica takes no part until a restart. */
+    std::optional<Error> failure;
 };
 
 /** One replica of the log, with threads of its own that sleep while nothing happens. */
@@ -92,20 +111,32 @@
     /**
      * Appends a command. On success the state machine applies it; failed is not called then.
      * Otherwise failed is called once: outcome NotRun when the command can't be committed any
-     * more, Unknown when a later leader may still commit it.
+     * more, Unknown when a later leader may still commit it. It is called on a thread of the
+     * replica, or by propose() itself once the replica has stopped.
      */
     void propose(std::string payload, std::function<void(const Error &)> failed);
 
-    /** Returns whether this replica leads and its lease is running as of now. */
+    /**
+     * Returns whether this replica leads, leadershipBegan() has been called and the lease is
+     * running as of now.
+     */
     bool holdsLease() const;
     ReplicaStatus status() const;
 
-    /** Adds a learner, or turns a learner that has caught up into a voter, or removes either. */
+    /**
+     * Adds a learner, or turns a learner that has caught up into a voter, or removes either. Done
+     * is called when the change is committed, or with Conflict while another change is under way,
+     * Unavailable while the learner has not caught up, NotLeader, or outcome Unknown.
+     */
     void addLearner(const InstanceId &id, std::function<void(const Status &)> done);
     void promoteLearner(const InstanceId &id, std::function<void(const Status &)> done);
     void remove(const InstanceId &id, std::function<void(const Status &)> done);
 
-    /** Hands leadership to the voter that has most of the log; done is called when it has begun. */
+    /**
+     * Hands leadership to the voter that has most of the log. Done is called once another replica
+     * leads, or with Unavailable. From the call on, proposals are refused with NotRun; the lease
+     * ends when the chosen voter is told to take over.
+     */
     void transferLeadership(std::function<void(const Status &)> done);
 
     struct Impl;
--- /dev/null
+++ b/libs/quorum/src/apply_loop.cpp
@@ -0,0 +1,183 @@
+#include "apply_loop.h"
+
+#include <algorithm>
+
+namespace gooseberry {
+
+namespace {
+
+/** Counted per entry besides its payload, so that empty entries fill the log too. */
+constexpr std::int64_t entryOverhead = 32;
+
+} // namespace
+
+ApplyLoop::ApplyLoop(StateMachine &stateMachine, ReplicaStorage &replicaStorage, Bytes interval)
+    : machine(stateMachine)
+    , storage(replicaStorage)
+    , snapshotInterval(interval)
+{
+}
+
+void ApplyLoop::start(const SnapshotInfo &snapshot, Callbacks initialCallbacks)
+{
+    this->callbacks = std::move(initialCallbacks);
+    this->position = snapshot;
+    this->applied = snapshot.lastIndex.value;
+    this->target = Target{.commit = snapshot.lastIndex, .led = {}, .snapshot = {}};
+    this->thread = std::thread([this] { this->run(); });
+}
+
+void ApplyLoop::stop()
+{
+    {
+        const std::lock_guard lock(this->mutex);
+        this->target.stopping = true;
+    }
+    this->changed.notify_one();
+    if (this->thread.joinable()) {
+        this->thread.join();
+    }
+}
+
+void ApplyLoop::update(LogIndex commit, const std::optional<LedTerm> &led)
+{
+    {
+        const std::lock_guard lock(this->mutex);
+        if (this->target.commit == commit && this->target.led == led) {
+            return;
+        }
+        this->target.commit = commit;
+        this->target.led = led;
+    }
+    this->changed.notify_one();
+}
+
+void ApplyLoop::restore(SnapshotInfo info, std::string state)
+{
+    const std::lock_guard lock(this->mutex);
+    this->target.snapshot = SnapshotContent{.info = std::move(info), .state = std::move(state)};
+    this->changed.notify_one();
+}
+
+LogIndex ApplyLoop::appliedIndex() const
+{
+    return LogIndex(this->applied);
+}
+
+Term ApplyLoop::begunTerm() const
+{
+    return Term(this->begun);
+}
+
+bool ApplyLoop::waitForWork(Target &work)
+{
+    std::unique_lock lock(this->mutex);
+    this->changed.wait(lock, [this] {
+        const std::uint64_t ledTerm = this->target.led ? this->target.led->term.value : 0;
+        return this->target.stopping || this->target.snapshot
+            || this->target.commit.value > this->applied
+            || (this->begun != ledTerm
+                && (this->begun != 0 || this->target.led->noOp.value <= this->applied));
+    });
+    work.commit = this->target.commit;
+    work.led = this->target.led;
+    work.snapshot = std::move(this->target.snapshot);
+    this->target.snapshot.reset();
+    return !this->target.stopping;
+}
+
+void ApplyLoop::run()
+{
+    // Entries between two looks at the target, so that a lost leadership is noticed soon.
+    constexpr std::uint64_t entriesPerRound = 64;
+    Target work;
+    bool healthy = true;
+    while (healthy && this->waitForWork(work)) {
+        this->changeLeadership(work.led);
+        if (work.snapshot) {
+            healthy = this->restoreSnapshot(*work.snapshot);
+        }
+        healthy = healthy
+            && this->applyUpTo(std::min(work.commit.value, this->applied + entriesPerRound),
+                               work.led);
+        this->takeSnapshotWhenDue();
+    }
+    this->changeLeadership(std::nullopt);
+}
+
+void ApplyLoop::changeLeadership(const std::optional<LedTerm> &led)
+{
+    if (this->begun != 0 && (!led || led->term.value != this->begun)) {
+        this->begun = 0;
+        this->machine.leadershipEnded();
+    }
+    if (led && this->begun == 0 && this->applied >= led->noOp.value) {
+        this->machine.leadershipBegan(led->term);
+        this->begun = led->term.value;
+    }
+}
+
+bool ApplyLoop::applyUpTo(std::uint64_t last, const std::optional<LedTerm> &led)
+{
+    while (this->applied < last) {
+        const auto entry = this->storage.read(LogIndex(this->applied + 1));
+        if (!ok(entry)) {
+            if (this->snapshotWaits()) {
+                return true;
+            }
+            this->callbacks.failed(errorOf(entry));
+            return false;
+        }
+        this->applyEntry(valueOf(entry));
+        this->changeLeadership(led);
+    }
+    return true;
+}
+
+bool ApplyLoop::snapshotWaits()
+{
+    const std::lock_guard lock(this->mutex);
+    return this->target.snapshot.has_value();
+}
+
+void ApplyLoop::applyEntry(const LogEntry &entry)
+{
+    if (entry.kind == EntryKind::Command) {
+        this->machine.apply(entry);
+    } else if (entry.kind == EntryKind::Membership) {
+        this->position.membership = entry.membership;
+    }
+    this->position.lastIndex = entry.index;
+    this->position.lastTerm = entry.term;
+    this->sinceSnapshot.value += static_cast<std::int64_t>(entry.payload.size()) + entryOverhead;
+    this->applied = entry.index.value;
+}
+
+bool ApplyLoop::restoreSnapshot(const SnapshotContent &content)
+{
+    if (content.info.lastIndex.value <= this->applied) {
+        return true;
+    }
+    if (const Status status = this->machine.restore(content.state); !ok(status)) {
+        this->callbacks.failed(errorOf(status));
+        return false;
+    }
+    this->position = content.info;
+    this->applied = content.info.lastIndex.value;
+    this->sinceSnapshot = Bytes(0);
+    return true;
+}
+
+void ApplyLoop::takeSnapshotWhenDue()
+{
+    if (this->sinceSnapshot < this->snapshotInterval) {
+        return;
+    }
+    // Without room for a snapshot the log stays whole, and the next interval tries again.
+    this->sinceSnapshot = Bytes(0);
+    if (ok(this->storage.saveSnapshot(this->position, this->machine.snapshot()))) {
+        this->callbacks.snapshotTaken(this->position);
+    }
+}
+
+} // namespace gooseberry
--- /dev/null
+++ b/libs/quorum/src/apply_loop.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <atomic>
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <optional>
+#include <thread>
+
+#include <quorum/replica.h>
+
+#include "replica_state.h"
+#include "replica_storage.h"
+
+namespace gooseberry {
+
+/** The leadership of this replica, as far as the state machine is concerned. */
+struct LedTerm
+{
+    Term term;
+    LogIndex noOp;
+
+    bool operator==(const LedTerm &other) const = default;
+};
+
+/** The apply thread of a replica, which makes all calls to the state machine. */
+class ApplyLoop
+{
+public:
+    struct Callbacks
+    {
+        std::function<void(const SnapshotInfo &)> snapshotTaken;
+        std::function<void(const Error &)> failed;
+    };
+
+    ApplyLoop(StateMachine &stateMachine, ReplicaStorage &replicaStorage, Bytes interval);
+
+    /** Begins after the entries that the snapshot covers. */
+    void start(const SnapshotInfo &snapshot, Callbacks initialCallbacks);
+    void stop();
+
+    /** Tells up to where entries are committed and whether this replica leads. */
+    void update(LogIndex commit, const std::optional<LedTerm> &led);
+    /** Has a received snapshot restored before any entry after it is applied. */
+    void restore(SnapshotInfo info, std::string state);
+
+    LogIndex appliedIndex() const;
+    /** The term for which leadershipBegan() was called and not ended yet, 0 without one. */
+    Term begunTerm() const;
+
+private:
+    struct Target
+    {
+        LogIndex commit;
+        std::optional<LedTerm> led;
+        std::optional<SnapshotContent> snapshot;
+        bool stopping = false;
+    };
+
+    void run();
+    bool waitForWork(Target &work);
+    void changeLeadership(const std::optional<LedTerm> &led);
+    /** Applies entries up to the index, fewer when a received snapshot replaces them. */
+    bool applyUpTo(std::uint64_t last, const std::optional<LedTerm> &led);
+    void applyEntry(const LogEntry &entry);
+    bool snapshotWaits();
+    bool restoreSnapshot(const SnapshotContent &content);
+    void takeSnapshotWhenDue();
+
+    StateMachine &machine;
+    ReplicaStorage &storage;
+    const Bytes snapshotInterval;
+    Callbacks callbacks;
+
+    std::mutex mutex; ///< Guards target.
+    std::condition_variable changed;
+    Target target;
+
+    // Owned by the apply thread.
+    SnapshotInfo position; ///< Index, term and membership of the last applied entry.
+    Bytes sinceSnapshot;
+    std::atomic<std::uint64_t> applied{0};
+    std::atomic<std::uint64_t> begun{0};
+    std::thread thread;
+};
+
+} // namespace gooseberry
--- /dev/null
+++ b/libs/quorum/src/bootstrap.cpp
@@ -0,0 +1,74 @@
+#include "bootstrap.h"
+
+#include "election.h"
+
+namespace gooseberry {
+
+namespace {
+
+void createWhenReady(ReplicaState &state, SteadyTime now, Effects &effects)
+{
+    Membership membership = state.settings.initialMembership;
+    membership.disks = state.readyDisks;
+    membership.disks[state.settings.self] = state.settings.disk;
+    if (membership.disks.size() < membership.voters.size()) {
+        return;
+    }
+    state.term = Term(1);
+    state.votedFor = state.settings.self;
+    storeEntry(state,
+               LogEntry{.index = LogIndex(1),
+                        .term = state.term,
+                        .kind = EntryKind::Membership,
+                        .payload = {},
+                        .membership = membership},
+               effects);
+    becomeLeader(state, now, effects);
+}
+
+} // namespace
+
+bool readyForNewCell(const ReplicaState &state)
+{
+    // Only a creator votes for itself in the first term; its entries were not stored yet.
+    const bool unused
+        = state.term == Term(0) || (state.term == Term(1) && state.votedFor == state.settings.self);
+    return state.settings.bootstrap && unused && state.log.last == LogIndex(0)
+        && !state.logExistsElsewhere;
+}
+
+bool createsNewCell(const ReplicaState &state)
+{
+    const auto &voters = state.settings.initialMembership.voters;
+    return readyForNewCell(state) && !voters.empty() && *voters.begin() == state.settings.self;
+}
+
+void askForReadiness(ReplicaState &state, SteadyTime now, Effects &effects)
+{
+    state.electionDeadline = now + state.settings.heartbeatInterval;
+    for (const InstanceId &voter : state.settings.initialMembership.voters) {
+        if (voter != state.settings.self && !state.readyDisks.contains(voter)) {
+            effects.messages.push_back({.to = voter, .message = PreVote{}, .lastEntry = {}});
+        }
+    }
+    createWhenReady(state, now, effects);
+}
+
+void noteReadiness(ReplicaState &state, SteadyTime now, const InstanceId &from,
+                   const PreVoteReply &message, Effects &effects)
+{
+    if (message.granted && state.settings.initialMembership.voters.contains(from)) {
+        state.readyDisks[from] = message.disk;
+        createWhenReady(state, now, effects);
+    } else if (message.term > Term(0)) {
+        state.logExistsElsewhere = true;
+    }
+}
+
+bool resumesFirstTerm(const ReplicaState &state)
+{
+    return state.term == Term(1) && state.votedFor == state.settings.self
+        && state.commit == LogIndex(0) && mayVote(state);
+}
+
+} // namespace gooseberry
--- /dev/null
+++ b/libs/quorum/src/bootstrap.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "replica_state.h"
+
+namespace gooseberry {
+
+/** Returns whether this replica has no state and its operator wants a new cell. */
+bool readyForNewCell(const ReplicaState &state);
+
+/**
+ * Returns whether this replica is the one that creates the new cell: the first voter by name. It
+ * does so once all other voters have answered that they have no log. The membership names all their
+ * data folders, so a voter that loses its disk afterwards is not taken for the same voter.
+ */
+bool createsNewCell(const ReplicaState &state);
+
+/** Asks the voters that have not answered yet, or creates the cell when it has one voter only. */
+void askForReadiness(ReplicaState &state, SteadyTime now, Effects &effects);
+void noteReadiness(ReplicaState &state, SteadyTime now, const InstanceId &from,
+                   const PreVoteReply &message, Effects &effects);
+
+/**
+ * Returns whether the creator must lead again in the first term after a crash: the others can't
+ * vote before they know the membership. Nobody else can lead in that term. It holds no lease then,
+ * since a hand-over may have been signalled before the crash, and stops leading when a majority
+ * knows the membership.
+ */
+bool resumesFirstTerm(const ReplicaState &state);
+
+} // namespace gooseberry
--- /dev/null
+++ b/libs/quorum/src/election.cpp
@@ -0,0 +1,183 @@
+#include "election.h"
+
+#include "bootstrap.h"
+#include "leader_lease.h"
+
+namespace gooseberry {
+
+namespace {
+
+void setDeadline(ReplicaState &state, SteadyTime now, Duration shortest, Duration longest)
+{
+    std::uniform_int_distribution<Duration::rep> jitter(shortest.count(), longest.count());
+    state.electionDeadline = now + Duration(jitter(state.random));
+}
+
+bool grantedByQuorum(const ReplicaState &state)
+{
+    const Membership &membership = currentMembership(state.log);
+    std::size_t granted = 0;
+    for (const InstanceId &voter : membership.voters) {
+        granted += state.grants.contains(voter) ? 1 : 0;
+    }
+    return granted >= quorumSize(membership);
+}
+
+void askVoters(const ReplicaState &state, const QuorumMessage &message, Effects &effects)
+{
+    for (const InstanceId &voter : currentMembership(state.log).voters) {
+        if (voter != state.settings.self) {
+            effects.messages.push_back({.to = voter, .message = message, .lastEntry = {}});
+        }
+    }
+}
+
+} // namespace
+
+void resetElectionDeadline(ReplicaState &state, SteadyTime now)
+{
+    setDeadline(state, now, state.settings.minElectionTimeout, state.settings.maxElectionTimeout);
+}
+
+void becomeFollower(ReplicaState &state, SteadyTime now, Term term,
+                    const std::optional<InstanceId> &leader)
+{
+    if (term > state.term) {
+        state.term = term;
+        state.votedFor.reset();
+    }
+    if (state.role != Role::Follower) {
+        resetElectionDeadline(state, now);
+    }
+    state.role = Role::Follower;
+    state.leader = leader;
+    state.grants.clear();
+    state.leadership = {};
+}
+
+void becomeLeader(ReplicaState &state, SteadyTime now, Effects &effects)
+{
+    state.role = Role::Leader;
+    state.leader = state.settings.self;
+    state.leadership = {};
+    state.leadership.beganAt = now;
+    state.leadership.nextHeartbeat = now;
+    // Rounds of an earlier process that led in the same term must not be taken for new ones.
+    state.leadership.round = static_cast<std::uint64_t>(now.time_since_epoch().count());
+    const LogIndex noOp(state.log.last.value + 1);
+    state.leadership.noOp = noOp;
+    storeEntry(state,
+               LogEntry{.index = noOp,
+                        .term = state.term,
+                        .kind = EntryKind::NoOp,
+                        .payload = {},
+                        .membership = {}},
+               effects);
+}
+
+void startPreVote(ReplicaState &state, SteadyTime now, Effects &effects)
+{
+    state.role = Role::PreCandidate;
+    state.leader.reset();
+    state.grants = {state.settings.self};
+    // A pre-vote disturbs nobody, so it is repeated soon when it fails.
+    setDeadline(state, now, state.settings.heartbeatInterval, 2 * state.settings.heartbeatInterval);
+    if (grantedByQuorum(state)) {
+        startElection(state, now, false, effects);
+        return;
+    }
+    askVoters(state,
+              PreVote{.term = Term(state.term.value + 1),
+                      .lastIndex = state.log.last,
+                      .lastTerm = lastTerm(state.log)},
+              effects);
+}
+
+void startElection(ReplicaState &state, SteadyTime now, bool handOver, Effects &effects)
+{
+    state.role = Role::Candidate;
+    state.leader.reset();
+    state.leadership = {};
+    state.term = Term(state.term.value + 1);
+    state.votedFor = state.settings.self;
+    state.grants = {state.settings.self};
+    setDeadline(state, now, state.settings.minElectionTimeout / 2,
+                state.settings.minElectionTimeout);
+    if (grantedByQuorum(state)) {
+        becomeLeader(state, now, effects);
+        return;
+    }
+    askVoters(state,
+              Vote{.term = state.term,
+                   .lastIndex = state.log.last,
+                   .lastTerm = lastTerm(state.log),
+                   .handOver = handOver},
+              effects);
+}
+
+void handle(ReplicaState &state, SteadyTime now, const InstanceId &from, const PreVote &message,
+            Effects &effects)
+{
+    PreVoteReply reply{.term = state.term, .granted = false, .disk = state.settings.disk};
+    if (message.term == Term(0)) {
+        reply.granted = readyForNewCell(state);
+    } else if (mayVote(state) && message.term > state.term && !hearsLeader(state, now)
+               && isUpToDate(message.lastIndex, message.lastTerm, state.log)) {
+        reply.granted = true;
+        reply.term = message.term;
+    }
+    effects.messages.push_back({.to = from, .message = reply, .lastEntry = {}});
+}
+
+void handle(ReplicaState &state, SteadyTime now, const InstanceId &from,
+            const PreVoteReply &message, Effects &effects)
+{
+    if (createsNewCell(state)) {
+        noteReadiness(state, now, from, message, effects);
+        return;
+    }
+    if (message.granted) {
+        if (state.role == Role::PreCandidate && message.term.value == state.term.value + 1) {
+            state.grants.insert(from);
+            if (grantedByQuorum(state)) {
+                startElection(state, now, false, effects);
+            }
+        }
+    } else if (message.term > state.term && mayVote(state)) {
+        becomeFollower(state, now, message.term, std::nullopt);
+    }
+}
+
+void handle(ReplicaState &state, SteadyTime now, const InstanceId &from, const Vote &message,
+            Effects &effects)
+{
+    const bool allowed = mayVote(state) && (message.handOver || !hearsLeader(state, now));
+    if (allowed && message.term > state.term) {
+        becomeFollower(state, now, message.term, std::nullopt);
+    }
+    const bool granted = allowed && message.term == state.term
+        && (!state.votedFor || *state.votedFor == from)
+        && isUpToDate(message.lastIndex, message.lastTerm, state.log);
+    if (granted) {
+        state.votedFor = from;
+        resetElectionDeadline(state, now);
+    }
+    effects.messages.push_back({.to = from,
+                                .message = VoteReply{.term = state.term, .granted = granted},
+                                .lastEntry = {}});
+}
+
+void handle(ReplicaState &state, SteadyTime now, const InstanceId &from, const VoteReply &message,
+            Effects &effects)
+{
+    if (message.term > state.term) {
+        becomeFollower(state, now, message.term, std::nullopt);
+    } else if (message.granted && message.term == state.term && state.role == Role::Candidate) {
+        state.grants.insert(from);
+        if (grantedByQuorum(state)) {
+            becomeLeader(state, now, effects);
+        }
+    }
+}
+
+} // namespace gooseberry
--- /dev/null
+++ b/libs/quorum/src/replica_batch.cpp
@@ -0,0 +1,372 @@
+#include <algorithm>
+
+#include "hand_over.h"
+#include "leader_lease.h"
+#include "membership.h"
+#include "protocol.h"
+#include "replica_impl.h"
+#include "replication.h"
+#include "snapshot_transfer.h"
+
+namespace gooseberry {
+
+namespace {
+
+/** Bytes of entries in one message, so that a heartbeat is not delayed for long behind it. */
+constexpr std::size_t maxAppendBytes = std::size_t{512} * 1024;
+/** Entries that may wait for their commit; more are refused, so that memory stays bounded. */
+constexpr std::size_t maxPending = 65536;
+
+} // namespace
+
+void Replica::Impl::run()
+{
+    std::vector<ReplicaEvent> events;
+    while (this->takeEvents(events)) {
+        this->runBatch(events);
+        events.clear();
+    }
+    this->publishedLeaseEnd = 0;
+    for (ReplicaEvent &event : events) {
+        this->refuse(event, this->unavailable("the replica is stopping", Outcome::NotRun));
+    }
+    for (auto &[index, entry] : this->pending) {
+        entry.settled(this->unavailable("the replica is stopping", Outcome::Unknown));
+    }
+    this->pending.clear();
+    if (this->handOverDone) {
+        this->handOverDone(this->unavailable("the replica is stopping", Outcome::Unknown));
+    }
+}
+
+bool Replica::Impl::takeEvents(std::vector<ReplicaEvent> &events)
+{
+    std::unique_lock lock(this->inboxMutex);
+    const auto ready = [this] { return !this->running || !this->inbox.empty(); };
+    if (this->failure) {
+        this->inboxChanged.wait(lock, ready);
+    } else {
+        // While the disk is full, retries wait; otherwise an overdue deadline would keep the thread
+        // busy.
+        const SteadyTime wake = std::max(nextTick(this->state), this->fullUntil);
+        this->inboxChanged.wait_for(lock, wake - this->clock.steadyNow(), ready);
+    }
+    std::size_t proposals = 0;
+    while (!this->inbox.empty()) {
+        const bool proposal = std::holds_alternative<Proposal>(this->inbox.front());
+        if (proposal && this->running && ++proposals > this->settings.maxBatch) {
+            break;
+        }
+        events.push_back(std::move(this->inbox.front()));
+        this->inbox.pop_front();
+    }
+    return this->running;
+}
+
+void Replica::Impl::runBatch(std::vector<ReplicaEvent> &events)
+{
+    if (this->failure) {
+        for (ReplicaEvent &event : events) {
+            this->refuse(event, *this->failure);
+        }
+        return;
+    }
+    // Read after the events were taken, so that no message counts as heard before it arrived.
+    this->now = this->clock.steadyNow();
+    this->effects = {};
+    // A snapshot that is being received may be large. It is not kept: its sender begins again.
+    IncomingSnapshot incoming = std::move(this->state.incoming);
+    this->state.incoming = {};
+    ReplicaState before = this->state;
+    this->state.incoming = std::move(incoming);
+    for (ReplicaEvent &event : events) {
+        std::visit([this](auto &content) { this->on(content); }, event);
+    }
+    tick(this->state, this->now, this->effects);
+    finishBatch(this->state, this->now, this->effects);
+    if (const Status stored = this->persist(before); !ok(stored)) {
+        this->undoBatch(std::move(before), errorOf(stored));
+        return;
+    }
+    for (auto &[index, entry] : this->batchPending) {
+        this->pending.insert_or_assign(index, std::move(entry));
+    }
+    this->batchPending.clear();
+    entriesStored(this->state);
+    this->compact();
+    this->publish();
+    this->updateApplyLoop();
+    this->sendMessages();
+    this->settlePending();
+    this->settleHandOver();
+}
+
+void Replica::Impl::on(ReceivedMessage &event)
+{
+    gooseberry::receive(this->state, this->now, event.from, event.message, this->effects);
+}
+
+void Replica::Impl::on(Proposal &event)
+{
+    Error error = this->unavailable("this replica does not lead", Outcome::NotRun);
+    error.code = ErrorCode::NotLeader;
+    const bool leads = this->state.role == Role::Leader && !this->state.leadership.resumed;
+    if (leads && this->state.leadership.handOver) {
+        error = this->unavailable("leadership is being handed over", Outcome::NotRun);
+    } else if (leads && this->storageFull && this->now < this->fullUntil) {
+        error = this->unavailable("the disk is full", Outcome::NotRun);
+        error.code = ErrorCode::StorageFull;
+    } else if (leads && this->pending.size() + this->batchPending.size() >= maxPending) {
+        error = this->unavailable("too many entries wait for their commit", Outcome::NotRun);
+        error.code = ErrorCode::Overloaded;
+    } else if (leads) {
+        const LogIndex index = appendOnLeader(this->state,
+                                              LogEntry{.index = {},
+                                                       .term = {},
+                                                       .kind = EntryKind::Command,
+                                                       .payload = std::move(event.payload),
+                                                       .membership = {}},
+                                              this->effects);
+        auto settled = [failed = std::move(event.failed)](const Status &status) {
+            if (!ok(status)) {
+                failed(errorOf(status));
+            }
+        };
+        this->batchPending.emplace_back(
+            index, PendingEntry{.term = this->state.term, .settled = std::move(settled)});
+        return;
+    }
+    event.failed(error);
+}
+
+void Replica::Impl::on(MembershipChange &event)
+{
+    if (const Status status = checkMembershipChange(this->state); !ok(status)) {
+        event.done(status);
+        return;
+    }
+    auto changed = event.change(this->state);
+    if (!ok(changed)) {
+        event.done(errorOf(changed));
+        return;
+    }
+    const LogIndex index = appendOnLeader(this->state,
+                                          LogEntry{.index = {},
+                                                   .term = {},
+                                                   .kind = EntryKind::Membership,
+                                                   .payload = {},
+                                                   .membership = std::move(valueOf(changed))},
+                                          this->effects);
+    this->batchPending.emplace_back(
+        index, PendingEntry{.term = this->state.term, .settled = std::move(event.done)});
+}
+
+void Replica::Impl::on(HandOverRequest &event)
+{
+    const Status status = this->handOverDone
+        ? Status(this->unavailable("a hand-over is under way", Outcome::NotRun))
+        : beginHandOver(this->state, this->now);
+    if (!ok(status)) {
+        event.done(status);
+        return;
+    }
+    this->handOverDone = std::move(event.done);
+    this->handOverDeadline = this->now + 2 * this->settings.maxElectionTimeout;
+}
+
+void Replica::Impl::on(SnapshotTaken &event)
+{
+    this->takenSnapshot = std::move(event.info);
+}
+
+void Replica::Impl::compact()
+{
+    if (!this->takenSnapshot) {
+        return;
+    }
+    const SnapshotInfo taken = std::move(*this->takenSnapshot);
+    this->takenSnapshot.reset();
+    if (taken.lastIndex <= this->state.snapshot.lastIndex) {
+        return;
+    }
+    this->state.snapshot = taken;
+    const LogIndex target = compactionTarget(this->state, this->now);
+    compactLog(this->state.log, target);
+    if (const Status status = this->storage.truncatePrefix(target); !ok(status)) {
+        this->failure = errorOf(status);
+    }
+}
+
+void Replica::Impl::on(ApplyFailed &event)
+{
+    this->failure = event.error;
+}
+
+Status Replica::Impl::persist(const ReplicaState &before)
+{
+    if (this->failure) {
+        return *this->failure;
+    }
+    Status status = Done{};
+    if (this->state.term != before.term || this->state.votedFor != before.votedFor) {
+        status = this->storage.saveVote(StoredVote{.term = this->state.term,
+                                                   .votedFor = this->state.votedFor,
+                                                   .disk = this->state.settings.disk});
+    }
+    if (ok(status) && this->effects.install) {
+        auto content
+            = decodeSnapshot(this->effects.install->lastIndex, this->effects.install->bytes);
+        if (!ok(content)) {
+            return errorOf(content);
+        }
+        // First, since the apply thread finds its next entries gone once the log is replaced.
+        this->applyLoop.restore(valueOf(content).info, std::move(valueOf(content).state));
+        status = this->storage.install(*this->effects.install);
+    }
+    if (ok(status) && !this->effects.entries.empty()) {
+        status = this->storage.append(this->effects.entries);
+        this->storageFull = this->storageFull && !ok(status);
+        if (!ok(status) && this->effects.install) {
+            // The old log is gone, so the batch can't be undone.
+            Error final = errorOf(status);
+            final.code = ErrorCode::Internal;
+            return final;
+        }
+    }
+    return status;
+}
+
+void Replica::Impl::undoBatch(ReplicaState &&before, const Error &error)
+{
+    if (error.code == ErrorCode::StorageFull) {
+        this->state = std::move(before);
+        this->storageFull = true;
+        this->fullUntil = this->now + this->settings.heartbeatInterval;
+    } else {
+        this->failure = error;
+        this->state.role = Role::Follower;
+        for (auto &[index, entry] : this->pending) {
+            Error lost = error;
+            lost.outcome = Outcome::Unknown;
+            entry.settled(lost);
+        }
+        this->pending.clear();
+    }
+    this->publish();
+    this->updateApplyLoop();
+    Error refusal = error;
+    // After a failed sync, a restart may still find the entries.
+    refusal.outcome = error.code == ErrorCode::StorageFull ? Outcome::NotRun : Outcome::Unknown;
+    for (auto &[index, entry] : this->batchPending) {
+        entry.settled(refusal);
+    }
+    this->batchPending.clear();
+    this->settleHandOver();
+}
+
+void Replica::Impl::settlePending()
+{
+    const bool leads = this->state.role == Role::Leader;
+    while (!this->pending.empty()) {
+        auto first = this->pending.begin();
+        const LogIndex index = first->first;
+        PendingEntry entry = std::move(first->second);
+        if (index <= this->state.commit && termAt(this->state.log, index) == entry.term) {
+            this->pending.erase(first);
+            entry.settled(Done{});
+        } else if (!leads || entry.term != this->state.term) {
+            this->pending.erase(first);
+            entry.settled(
+                this->unavailable("leadership was lost before the commit", Outcome::Unknown));
+        } else {
+            first->second = std::move(entry);
+            return;
+        }
+    }
+}
+
+void Replica::Impl::settleHandOver()
+{
+    if (!this->handOverDone) {
+        return;
+    }
+    const bool leads = this->state.role == Role::Leader;
+    const bool otherLeads
+        = !leads && this->state.leader && *this->state.leader != this->settings.self;
+    const bool given = leads && this->state.leadership.handOver.has_value();
+    if (!otherLeads && !this->failure
+        && (given || (!leads && this->now < this->handOverDeadline))) {
+        return;
+    }
+    const auto done = std::move(this->handOverDone);
+    this->handOverDone = nullptr;
+    if (otherLeads) {
+        done(Done{});
+    } else {
+        done(this->unavailable("no other replica took over in time", Outcome::NotRun));
+    }
+}
+
+void Replica::Impl::updateApplyLoop()
+{
+    const bool leads = this->state.role == Role::Leader && !this->state.leadership.resumed;
+    const auto led = leads
+        ? std::optional(LedTerm{.term = this->state.term, .noOp = this->state.leadership.noOp})
+        : std::nullopt;
+    this->applyLoop.update(this->state.commit, led);
+}
+
+void Replica::Impl::sendMessages()
+{
+    bool sendsSnapshot = false;
+    for (Outgoing &outgoing : this->effects.messages) {
+        bool complete = true;
+        if (auto *const append = std::get_if<Append>(&outgoing.message)) {
+            complete = this->fillEntries(outgoing, *append);
+        } else if (auto *const part = std::get_if<InstallSnapshot>(&outgoing.message)) {
+            complete = this->fillChunk(*part);
+            sendsSnapshot = true;
+        }
+        if (complete) {
+            this->transport.send(outgoing.to, std::move(outgoing.message));
+        }
+    }
+    const auto &peers = this->state.leadership.peers;
+    if (!sendsSnapshot && std::none_of(peers.begin(), peers.end(), [](const auto &peer) {
+            return peer.second.snapshot != LogIndex(0);
+        })) {
+        this->storage.forgetSnapshotBytes();
+    }
+}
+
+bool Replica::Impl::fillEntries(Outgoing &outgoing, Append &message)
+{
+    std::size_t bytes = 0;
+    for (LogIndex index(message.prevIndex.value + 1); index <= outgoing.lastEntry;
+         index = LogIndex(index.value + 1)) {
+        if (bytes >= maxAppendBytes) {
+            noteLastSent(this->state, outgoing.to, LogIndex(index.value - 1));
+            return true;
+        }
+        auto entry = this->storage.read(index);
+        if (!ok(entry)) {
+            return false;
+        }
+        bytes += valueOf(entry).payload.size();
+        message.entries.push_back(std::move(valueOf(entry)));
+    }
+    return true;
+}
+
+bool Replica::Impl::fillChunk(InstallSnapshot &message)
+{
+    const auto bytes = this->storage.snapshotBytes(message.lastIndex);
+    if (!bytes || message.offset > bytes->size()) {
+        return false;
+    }
+    message.chunk = bytes->substr(message.offset, maxSnapshotChunk);
+    message.last = message.offset + message.chunk.size() == bytes->size();
+    return true;
+}
+
+} // namespace gooseberry
--- /dev/null
+++ b/libs/quorum/src/replica_impl.cpp
@@ -0,0 +1,219 @@
+#include "replica_impl.h"
+
+#include <random>
+
+#include "leader_lease.h"
+#include "protocol.h"
+
+namespace gooseberry {
+
+namespace {
+
+/** Messages that wait beyond this are dropped, as the network might have done. */
+constexpr std::size_t maxWaitingEvents = 65536;
+
+DiskId drawDiskId()
+{
+    std::random_device device;
+    std::uniform_int_distribution<std::uint64_t> distribution(1);
+    return DiskId(distribution(device));
+}
+
+Error invalidSettings(const std::string &message)
+{
+    return Error{.code = ErrorCode::InvalidArgument,
+                 .step = Step::Settings,
+                 .peer = {},
+                 .message = message,
+                 .outcome = Outcome::NotRun};
+}
+
+} // namespace
+
+Replica::Impl::Impl(ReplicaSettings initialSettings, StateMachine &initialMachine,
+                    ReplicaTransport &initialTransport, const Clock &initialClock)
+    : settings(std::move(initialSettings))
+    , machine(initialMachine)
+    , transport(initialTransport)
+    , clock(initialClock)
+    , storage(this->settings.dataFolder)
+    , applyLoop(this->machine, this->storage, this->settings.snapshotInterval)
+{
+}
+
+Status Replica::Impl::checkSettings() const
+{
+    const auto &voters = this->settings.initialMembership.voters;
+    if (this->settings.self.value.empty()) {
+        return invalidSettings("a replica needs an id");
+    }
+    if (!this->settings.dataFolder
+        && (voters.size() > 1 || (voters.size() == 1 && !voters.contains(this->settings.self)))) {
+        return invalidSettings("a replica without a data folder must be the only voter");
+    }
+    if (this->settings.bootstrap && !voters.contains(this->settings.self)) {
+        return invalidSettings("with bootstrap, the first voters must include this replica");
+    }
+    // Followers must refuse to vote at least as long as a lease that they extended can run.
+    if (this->settings.leaderLease > this->settings.minElectionTimeout
+        || this->settings.minElectionTimeout > this->settings.maxElectionTimeout
+        || this->settings.heartbeatInterval <= std::chrono::milliseconds(0)
+        || this->settings.heartbeatInterval >= this->settings.leaderLease) {
+        return invalidSettings("needed: heartbeat < lease <= shortest <= longest election timeout");
+    }
+    return Done{};
+}
+
+Status Replica::Impl::recover()
+{
+    auto recovered = this->storage.recover();
+    if (!ok(recovered)) {
+        return errorOf(recovered);
+    }
+    RecoveredState &found = valueOf(recovered);
+    if (found.vote.disk == DiskId(0)) {
+        found.vote.disk = drawDiskId();
+        if (Status status = this->storage.saveVote(found.vote); !ok(status)) {
+            return status;
+        }
+    }
+    if (found.state) {
+        if (Status status = this->machine.restore(*found.state); !ok(status)) {
+            return status;
+        }
+    }
+    ProtocolSettings &protocol = this->state.settings;
+    protocol.self = this->settings.self;
+    protocol.disk = found.vote.disk;
+    protocol.bootstrap = this->settings.bootstrap;
+    protocol.initialMembership = this->settings.initialMembership;
+    if (!this->settings.dataFolder) {
+        protocol.bootstrap = true;
+        protocol.initialMembership.voters = {this->settings.self};
+    }
+    protocol.heartbeatInterval = this->settings.heartbeatInterval;
+    protocol.leaderLease = this->settings.leaderLease;
+    protocol.minElectionTimeout = this->settings.minElectionTimeout;
+    protocol.maxElectionTimeout = this->settings.maxElectionTimeout;
+    // The name makes replicas with equal seeds draw different election timeouts.
+    this->state.random.seed(static_cast<std::minstd_rand::result_type>(
+        this->settings.seed ^ std::hash<std::string>{}(this->settings.self.value)));
+    this->state.term = found.vote.term;
+    this->state.votedFor = found.vote.votedFor;
+    this->state.log = std::move(found.log);
+    this->state.snapshot = std::move(found.snapshot);
+    begin(this->state, this->clock.steadyNow());
+    return Done{};
+}
+
+Status Replica::Impl::start()
+{
+    Status status = this->checkSettings();
+    if (ok(status)) {
+        status = this->recover();
+    }
+    if (!ok(status)) {
+        return status;
+    }
+    this->now = this->clock.steadyNow();
+    this->publish();
+    this->applyLoop.start(
+        this->state.snapshot,
+        {.snapshotTaken = [this](const SnapshotInfo &info) { this->post(SnapshotTaken{info}); },
+         .failed = [this](const Error &error) { this->post(ApplyFailed{error}); }});
+    // On this thread, so that a lone voter accepts proposals as soon as start() returns.
+    std::vector<ReplicaEvent> none;
+    this->runBatch(none);
+    if (this->failure) {
+        this->applyLoop.stop();
+        return *this->failure;
+    }
+    {
+        const std::lock_guard lock(this->inboxMutex);
+        this->running = true;
+    }
+    this->thread = std::thread([this] { this->run(); });
+    return Done{};
+}
+
+void Replica::Impl::stop()
+{
+    {
+        const std::lock_guard lock(this->inboxMutex);
+        this->running = false;
+    }
+    this->inboxChanged.notify_one();
+    if (this->thread.joinable()) {
+        this->thread.join();
+        this->applyLoop.stop();
+    }
+}
+
+void Replica::Impl::post(ReplicaEvent event)
+{
+    {
+        const std::lock_guard lock(this->inboxMutex);
+        if (this->running) {
+            if (!std::holds_alternative<ReceivedMessage>(event)
+                || this->inbox.size() < maxWaitingEvents) {
+                this->inbox.push_back(std::move(event));
+                this->inboxChanged.notify_one();
+            }
+            return;
+        }
+    }
+    this->refuse(event, this->unavailable("the replica is stopped", Outcome::NotRun));
+}
+
+void Replica::Impl::refuse(ReplicaEvent &event, const Error &error)
+{
+    if (auto *const proposal = std::get_if<Proposal>(&event)) {
+        proposal->failed(error);
+    } else if (auto *const change = std::get_if<MembershipChange>(&event)) {
+        change->done(error);
+    } else if (auto *const handOver = std::get_if<HandOverRequest>(&event)) {
+        handOver->done(error);
+    }
+}
+
+Error Replica::Impl::unavailable(const std::string &message, Outcome outcome) const
+{
+    return Error{.code = ErrorCode::Unavailable,
+                 .step = Step::Commit,
+                 .peer = this->settings.self.value,
+                 .message = message,
+                 .outcome = outcome};
+}
+
+bool Replica::Impl::holdsLease() const
+{
+    return this->clock.steadyNow() < SteadyTime(Duration(this->publishedLeaseEnd))
+        && this->applyLoop.begunTerm() != Term(0);
+}
+
+ReplicaStatus Replica::Impl::status() const
+{
+    const std::lock_guard lock(this->statusMutex);
+    ReplicaStatus status = this->published;
+    status.applied = this->applyLoop.appliedIndex();
+    return status;
+}
+
+void Replica::Impl::publish()
+{
+    const auto lease = this->failure ? std::nullopt : leaseEnd(this->state, this->now);
+    this->publishedLeaseEnd = lease ? lease->time_since_epoch().count() : 0;
+    const bool leads = this->state.role == Role::Leader && !this->failure;
+    const std::lock_guard lock(this->statusMutex);
+    this->published.leads = leads;
+    this->published.term = this->state.term;
+    this->published.leader = this->state.leader;
+    this->published.leaderHeardAt
+        = leads ? quorumAnsweredAt(this->state, this->now) : this->state.leaderHeardAt;
+    this->published.committed = this->state.commit;
+    this->published.membership = currentMembership(this->state.log);
+    this->published.storageFull = this->storageFull;
+    this->published.failure = this->failure;
+}
+
+} // namespace gooseberry
--- /dev/null
+++ b/libs/quorum/src/replica_impl.h
@@ -0,0 +1,132 @@
+#pragma once
+
+#include <atomic>
+#include <condition_variable>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <thread>
+#include <variant>
+
+#include <quorum/replica.h>
+
+#include "apply_loop.h"
+#include "replica_state.h"
+#include "replica_storage.h"
+
+namespace gooseberry {
+
+/** What other threads ask of the protocol thread. */
+struct ReceivedMessage
+{
+    InstanceId from;
+    QuorumMessage message;
+};
+struct Proposal
+{
+    std::string payload;
+    std::function<void(const Error &)> failed;
+};
+struct MembershipChange
+{
+    std::function<Result<Membership>(const ReplicaState &)> change;
+    std::function<void(const Status &)> done;
+};
+struct HandOverRequest
+{
+    std::function<void(const Status &)> done;
+};
+struct SnapshotTaken
+{
+    SnapshotInfo info;
+};
+struct ApplyFailed
+{
+    Error error;
+};
+using ReplicaEvent = std::variant<ReceivedMessage, Proposal, MembershipChange, HandOverRequest,
+                                  SnapshotTaken, ApplyFailed>;
+
+/** An entry whose proposer waits for the outcome. */
+struct PendingEntry
+{
+    Term term;
+    std::function<void(const Status &)> settled;
+};
+
+/**
+ * The protocol thread of a replica: takes all that has arrived, decides, stores with one append and
+ * one sync, and then sends.
+ */
+struct Replica::Impl
+{
+    Impl(ReplicaSettings initialSettings, StateMachine &initialMachine,
+         ReplicaTransport &initialTransport, const Clock &initialClock);
+
+    Status start();
+    void stop();
+    void post(ReplicaEvent event);
+    bool holdsLease() const;
+    ReplicaStatus status() const;
+
+    const ReplicaSettings settings;
+    StateMachine &machine;
+    ReplicaTransport &transport;
+    const Clock &clock;
+
+private:
+    Status checkSettings() const;
+    Status recover();
+    void run();
+    /** Waits for events or the next deadline; returns false when the replica stops. */
+    bool takeEvents(std::vector<ReplicaEvent> &events);
+    void runBatch(std::vector<ReplicaEvent> &events);
+
+    void on(ReceivedMessage &event);
+    void on(Proposal &event);
+    void on(MembershipChange &event);
+    void on(HandOverRequest &event);
+    void on(SnapshotTaken &event);
+    void on(ApplyFailed &event);
+
+    Status persist(const ReplicaState &before);
+    void undoBatch(ReplicaState &&before, const Error &error);
+    /** Cuts the log after a snapshot. Not part of a batch that may be undone. */
+    void compact();
+    void settlePending();
+    void settleHandOver();
+    void publish();
+    void sendMessages();
+    bool fillEntries(Outgoing &outgoing, Append &message);
+    bool fillChunk(InstallSnapshot &message);
+    void updateApplyLoop();
+    void refuse(ReplicaEvent &event, const Error &error);
+    Error unavailable(const std::string &message, Outcome outcome) const;
+
+    // Owned by the protocol thread.
+    ReplicaState state;
+    ReplicaStorage storage;
+    ApplyLoop applyLoop;
+    Effects effects;
+    SteadyTime now;
+    std::vector<std::pair<LogIndex, PendingEntry>> batchPending;
+    std::map<LogIndex, PendingEntry> pending;
+    std::function<void(const Status &)> handOverDone;
+    SteadyTime handOverDeadline;
+    SteadyTime fullUntil = SteadyTime::min();
+    bool storageFull = false;
+    std::optional<Error> failure;
+    std::optional<SnapshotInfo> takenSnapshot;
+
+    mutable std::mutex inboxMutex; ///< Guards the members below, up to running.
+    std::condition_variable inboxChanged;
+    std::deque<ReplicaEvent> inbox;
+    bool running = false;
+
+    std::atomic<SteadyTime::rep> publishedLeaseEnd{0};
+    mutable std::mutex statusMutex; ///< Guards published.
+    ReplicaStatus published;
+    std::thread thread;
+};
+
+} // namespace gooseberry
--- /dev/null
+++ b/libs/quorum/src/replication.cpp
@@ -0,0 +1,189 @@
+#include "replication.h"
+
+#include <algorithm>
+
+#include "commit_rule.h"
+#include "election.h"
+#include "snapshot_transfer.h"
+
+namespace gooseberry {
+
+namespace {
+
+std::set<InstanceId> receiversOf(const ReplicaState &state)
+{
+    const Membership &membership = currentMembership(state.log);
+    std::set<InstanceId> receivers = membership.voters;
+    receivers.insert(membership.learners.begin(), membership.learners.end());
+    receivers.erase(state.settings.self);
+    return receivers;
+}
+
+/** Begins to track new members and forgets removed ones. */
+void updatePeers(ReplicaState &state, const std::set<InstanceId> &receivers)
+{
+    auto &peers = state.leadership.peers;
+    std::erase_if(peers, [&](const auto &peer) { return !receivers.contains(peer.first); });
+    for (const InstanceId &receiver : receivers) {
+        if (!peers.contains(receiver)) {
+            peers[receiver].next = LogIndex(state.log.last.value + 1);
+        }
+    }
+}
+
+void sendAppend(ReplicaState &state, const InstanceId &to, Progress &peer, Effects &effects)
+{
+    const LogIndex previous = std::max(LogIndex(peer.next.value - 1), state.log.baseIndex);
+    const std::uint64_t inFlight = previous.value - std::min(peer.match, previous).value;
+    const std::uint64_t room = maxEntriesInFlight - std::min(maxEntriesInFlight, inFlight);
+    LogIndex lastEntry(std::min(state.log.last.value, previous.value + room));
+    if (needsSnapshot(state, peer)) {
+        lastEntry = previous;
+    } else {
+        peer.next = LogIndex(lastEntry.value + 1);
+    }
+    effects.messages.push_back({.to = to,
+                                .message = Append{.term = state.term,
+                                                  .prevIndex = previous,
+                                                  .prevTerm = *termAt(state.log, previous),
+                                                  .entries = {},
+                                                  .commit = state.commit,
+                                                  .round = state.leadership.round},
+                                .lastEntry = lastEntry});
+}
+
+/** Returns where the leader should try next after a refusal. */
+LogIndex likelyMatch(const ReplicaState &state, const Append &message)
+{
+    if (message.prevIndex > state.log.last) {
+        return state.log.last;
+    }
+    return std::max(state.commit, LogIndex(firstOfTerm(state.log, message.prevIndex).value - 1));
+}
+
+/** Stores the entries that are not in the log yet; returns the last index known to be equal. */
+LogIndex storeEntries(ReplicaState &state, const Append &message, Effects &effects)
+{
+    for (const LogEntry &entry : message.entries) {
+        // Committed entries are equal by the commit rule, and may be in the snapshot only.
+        if (entry.index > state.commit && termAt(state.log, entry.index) != entry.term) {
+            storeEntry(state, entry, effects);
+        }
+    }
+    return LogIndex(message.prevIndex.value + message.entries.size());
+}
+
+} // namespace
+
+LogIndex appendOnLeader(ReplicaState &state, LogEntry entry, Effects &effects)
+{
+    entry.index = LogIndex(state.log.last.value + 1);
+    entry.term = state.term;
+    const LogIndex index = entry.index;
+    storeEntry(state, std::move(entry), effects);
+    return index;
+}
+
+void sendAppends(ReplicaState &state, SteadyTime now, bool heartbeat, Effects &effects)
+{
+    Leadership &leadership = state.leadership;
+    updatePeers(state, receiversOf(state));
+    // Sends within a short time share a round, which counts from the first of them. So the number
+    // of rounds to remember does not grow with the load.
+    const auto current = leadership.roundSentAt.find(leadership.round);
+    if (current == leadership.roundSentAt.end()
+        || now >= current->second + state.settings.heartbeatInterval / 4) {
+        leadership.round += 1;
+        leadership.roundSentAt[leadership.round] = now;
+    }
+    std::erase_if(leadership.roundSentAt, [&](const auto &round) {
+        return round.second + state.settings.maxElectionTimeout < now;
+    });
+    for (auto &[id, peer] : leadership.peers) {
+        const bool snapshot = needsSnapshot(state, peer);
+        const bool more = !snapshot && peer.next <= state.log.last
+            && peer.next.value - peer.match.value <= maxEntriesInFlight;
+        if (heartbeat || more) {
+            sendAppend(state, id, peer, effects);
+        }
+        if (snapshot) {
+            sendSnapshotChunk(state, now, id, peer, effects);
+        }
+    }
+}
+
+void noteLastSent(ReplicaState &state, const InstanceId &to, LogIndex lastSent)
+{
+    if (const auto peer = state.leadership.peers.find(to); peer != state.leadership.peers.end()) {
+        peer->second.next = LogIndex(lastSent.value + 1);
+    }
+}
+
+void followLeader(ReplicaState &state, SteadyTime now, Term term, const InstanceId &leader)
+{
+    if (term > state.term || state.role != Role::Follower) {
+        becomeFollower(state, now, term, leader);
+    }
+    state.leader = leader;
+    state.leaderHeardAt = now;
+    resetElectionDeadline(state, now);
+}
+
+void handle(ReplicaState &state, SteadyTime now, const InstanceId &from, const Append &message,
+            Effects &effects)
+{
+    AppendReply reply{.term = state.term,
+                      .success = false,
+                      .matchIndex = {},
+                      .round = message.round,
+                      .disk = state.settings.disk};
+    if (message.term >= state.term) {
+        followLeader(state, now, message.term, from);
+        reply.term = state.term;
+        // What lies before the base is committed, and so equal.
+        reply.success = message.prevIndex < state.log.baseIndex
+            || termAt(state.log, message.prevIndex) == message.prevTerm;
+        reply.matchIndex
+            = reply.success ? storeEntries(state, message, effects) : likelyMatch(state, message);
+        if (reply.success) {
+            state.commit = std::max(state.commit, std::min(message.commit, reply.matchIndex));
+        }
+    }
+    effects.messages.push_back({.to = from, .message = reply, .lastEntry = {}});
+}
+
+void handle(ReplicaState &state, SteadyTime now, const InstanceId &from, const AppendReply &message,
+            Effects & /*effects*/)
+{
+    if (message.term > state.term) {
+        becomeFollower(state, now, message.term, std::nullopt);
+        return;
+    }
+    const auto found = state.leadership.peers.find(from);
+    if (state.role != Role::Leader || message.term < state.term
+        || found == state.leadership.peers.end()) {
+        return;
+    }
+    Progress &peer = found->second;
+    const auto sent = state.leadership.roundSentAt.find(message.round);
+    if (sent == state.leadership.roundSentAt.end()) {
+        // Too old to tell whether the peer still has what it had then.
+        return;
+    }
+    if (peer.disk != message.disk) {
+        peer = Progress{};
+        peer.disk = message.disk;
+        peer.next = LogIndex(std::min(message.matchIndex, state.log.last).value + 1);
+    }
+    peer.answeredSentAt = std::max(peer.answeredSentAt, sent->second);
+    peer.heardAt = now;
+    if (message.success) {
+        peer.match = std::max(peer.match, std::min(message.matchIndex, state.log.last));
+        peer.next = std::max(peer.next, LogIndex(peer.match.value + 1));
+        advanceCommit(state);
+    } else if (message.matchIndex.value + 1 < peer.next.value) {
+        peer.next = LogIndex(std::max(message.matchIndex, peer.match).value + 1);
+    }
+}
+
+} // namespace gooseberry
--- /dev/null
+++ b/libs/quorum/test/replica_test.cpp
@@ -0,0 +1,258 @@
+#include <quorum/quorum.h>
+
+#include <boost/test/unit_test.hpp>
+
+#include <atomic>
+#include <future>
+
+#include "in_process_cell.h"
+
+using namespace gooseberry;
+
+namespace {
+
+using Cell = InProcessCell;
+
+struct ThreeVoters
+{
+    ThreeVoters()
+        : cell({"a", "b", "c"})
+    {
+        // Shorter than in operation, so that the tests are short; the ratios are the same.
+        this->cell.defaults.heartbeatInterval = std::chrono::milliseconds(60);
+        this->cell.defaults.leaderLease = std::chrono::milliseconds(300);
+        this->cell.defaults.minElectionTimeout = std::chrono::milliseconds(300);
+        this->cell.defaults.maxElectionTimeout = std::chrono::milliseconds(600);
+    }
+
+    std::shared_ptr<Cell::Node> leader()
+    {
+        const std::string name = this->cell.waitForLeader();
+        BOOST_REQUIRE_MESSAGE(!name.empty(), "no leader");
+        return this->cell.node(name);
+    }
+
+    /** Proposes until the command is applied by the leader, as a caller that resends would. */
+    void run(const std::string &command)
+    {
+        for (int attempt = 0; attempt < 50; ++attempt) {
+            const auto node = this->leader();
+            auto outcome = std::make_shared<std::promise<bool>>();
+            auto result = outcome->get_future();
+            const std::size_t before = node->machine.applied().size();
+            node->replica->propose(command,
+                                   [outcome](const Error &) { outcome->set_value(false); });
+            for (int wait = 0; wait < 2000; ++wait) {
+                if (node->machine.applied().size() > before) {
+                    return;
+                }
+                if (result.wait_for(std::chrono::milliseconds(1)) == std::future_status::ready) {
+                    break;
+                }
+            }
+        }
+        BOOST_FAIL("command was not applied: " + command);
+    }
+
+    Status wait(const std::function<void(Replica &, std::function<void(const Status &)>)> &call)
+    {
+        Status last = Done{};
+        for (int attempt = 0; attempt < 100; ++attempt) {
+            auto outcome = std::make_shared<std::promise<Status>>();
+            call(*this->leader()->replica,
+                 [outcome](const Status &status) { outcome->set_value(status); });
+            last = outcome->get_future().get();
+            if (ok(last)) {
+                break;
+            }
+            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        }
+        return last;
+    }
+
+    Cell cell;
+};
+
+/** Returns the commands without the repetitions that resending causes. */
+std::vector<std::string> distinct(std::vector<std::string> commands)
+{
+    std::set<std::string> seen;
+    std::erase_if(commands, [&](const std::string &each) { return !seen.insert(each).second; });
+    return commands;
+}
+
+std::vector<std::string> numbered(int first, int last)
+{
+    std::vector<std::string> commands;
+    for (int number = first; number <= last; ++number) {
+        commands.push_back("command " + std::to_string(number));
+    }
+    return commands;
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(ReplicaTest, ThreeVoters)
+
+// Guards against acknowledged commands that are lost or reordered when the leader dies.
+BOOST_AUTO_TEST_CASE(KeepsCommandsWhenTheLeaderIsKilled)
+{
+    this->cell.startAll();
+    for (int number = 1; number <= 60; ++number) {
+        this->run("command " + std::to_string(number));
+        if (number % 20 == 0) {
+            const std::string killed = this->cell.waitForLeader();
+            this->cell.stop(killed);
+            this->run("command " + std::to_string(number));
+            BOOST_REQUIRE(ok(this->cell.start(killed)));
+        }
+    }
+    BOOST_TEST(distinct(this->leader()->machine.applied()) == numbered(1, 60),
+               boost::test_tools::per_element());
+}
+
+// Guards against state that does not survive the restart of all replicas at once.
+BOOST_AUTO_TEST_CASE(KeepsFiveHundredCommandsOverRestartOfAll)
+{
+    this->cell.startAll();
+    const auto node = this->leader();
+    std::atomic<int> failures = 0;
+    for (const std::string &command : numbered(1, 500)) {
+        node->replica->propose(command, [&](const Error &) { failures += 1; });
+    }
+    BOOST_TEST(node->machine.waitForCommands(500));
+    BOOST_TEST(failures == 0);
+    for (int restart = 0; restart < 2; ++restart) {
+        this->cell.stopAll();
+        this->cell.startAll();
+        this->leader();
+        for (const std::string &name : this->cell.running()) {
+            BOOST_TEST(this->cell.node(name)->machine.waitForCommands(500));
+            BOOST_TEST(this->cell.node(name)->machine.applied() == numbered(1, 500),
+                       boost::test_tools::per_element());
+        }
+    }
+}
+
+// Guards against a planned stop that costs an election timeout, and against commands accepted by
+// the old leader after it has given up its lease.
+BOOST_AUTO_TEST_CASE(HandsLeadershipOver)
+{
+    this->cell.startAll();
+    const std::string old = this->cell.waitForLeader();
+    this->run("command 1");
+    BOOST_REQUIRE(ok(this->wait(
+        [](Replica &replica, auto done) { replica.transferLeadership(std::move(done)); })));
+    BOOST_TEST(!this->cell.node(old)->replica->holdsLease());
+    BOOST_TEST(this->cell.waitForLeader() != old);
+    std::promise<Error> refused;
+    this->cell.node(old)->replica->propose("late",
+                                           [&](const Error &error) { refused.set_value(error); });
+    BOOST_TEST((refused.get_future().get().outcome == Outcome::NotRun));
+}
+
+// Guards against a paused or cut-off leader that still relies on its lease, and against its
+// commands being reported as not run although they may be.
+BOOST_AUTO_TEST_CASE(IsolatedLeaderLosesItsLeaseAndReportsUnknown)
+{
+    this->cell.startAll();
+    const std::string old = this->cell.waitForLeader();
+    const auto node = this->cell.node(old);
+    this->cell.isolate(old, true);
+    std::promise<Error> failed;
+    node->replica->propose("in flight", [&](const Error &error) { failed.set_value(error); });
+    BOOST_TEST((failed.get_future().get().outcome == Outcome::Unknown));
+    BOOST_TEST(!node->replica->holdsLease());
+    BOOST_TEST(this->cell.waitForLeader() != old);
+    this->run("command 1");
+    this->cell.isolate(old, false);
+    BOOST_TEST(node->machine.waitForCommands(1));
+    BOOST_TEST(node->machine.applied() == numbered(1, 1), boost::test_tools::per_element());
+}
+
+// Guards against a log that grows without bound, and against a replica that lags behind the
+// snapshot and never catches up.
+BOOST_AUTO_TEST_CASE(LaggingReplicaCatchesUpFromSnapshotInParts)
+{
+    this->cell.defaults.snapshotInterval = Bytes(200 * 1024);
+    this->cell.startAll();
+    this->leader();
+    std::string lagging;
+    for (const std::string &name : this->cell.running()) {
+        lagging = name != this->cell.waitForLeader() ? name : lagging;
+    }
+    this->cell.stop(lagging);
+    // A leader keeps the log for a follower that was heard within the longest election timeout.
+    std::this_thread::sleep_for(this->cell.defaults.maxElectionTimeout);
+    const std::string filler(10 * 1024, 'x');
+    for (int number = 1; number <= 100; ++number) {
+        this->run(filler + std::to_string(number));
+    }
+    BOOST_TEST(this->leader()->machine.snapshots > 1);
+    BOOST_REQUIRE(ok(this->cell.start(lagging)));
+    const auto node = this->cell.node(lagging);
+    BOOST_TEST(node->machine.waitForCommands(100));
+    BOOST_TEST(node->machine.restored > 0);
+    BOOST_TEST((distinct(node->machine.applied()) == distinct(this->leader()->machine.applied())));
+    this->cell.stopAll();
+    this->cell.startAll();
+    this->leader();
+    BOOST_TEST(this->cell.node(lagging)->machine.waitForCommands(100));
+}
+
+// Guards against a voter that lost its disk and votes or counts as if it still had its state, also
+// when it is started with bootstrap again, and against one that can't be repaired.
+BOOST_AUTO_TEST_CASE(VoterWithLostDiskCountsOnlyAfterRepair)
+{
+    this->cell.startAll();
+    this->run("command 1");
+    this->cell.stop("c");
+    this->cell.eraseDisk("c");
+    BOOST_REQUIRE(ok(this->cell.start("c")));
+    this->run("command 2");
+    BOOST_TEST(this->cell.node("c")->machine.waitForCommands(2));
+    const std::string first = this->cell.waitForLeader();
+    BOOST_TEST(first != "c");
+    // With a second voter gone, no quorum is left although two replicas run.
+    const std::string second = first == "a" ? "b" : "a";
+    this->cell.stop(second);
+    std::promise<Error> failed;
+    this->cell.node(first)->replica->propose("command 3",
+                                             [&](const Error &error) { failed.set_value(error); });
+    BOOST_TEST((failed.get_future().get().outcome == Outcome::Unknown));
+    BOOST_REQUIRE(ok(this->cell.start(second)));
+    const InstanceId lost("c");
+    BOOST_REQUIRE(ok(this->wait([&](Replica &leading, auto done) { leading.remove(lost, done); })));
+    BOOST_REQUIRE(
+        ok(this->wait([&](Replica &leading, auto done) { leading.addLearner(lost, done); })));
+    BOOST_REQUIRE(
+        ok(this->wait([&](Replica &leading, auto done) { leading.promoteLearner(lost, done); })));
+    this->cell.stop(second);
+    this->run("command 4");
+    BOOST_TEST(this->cell.node("c")->machine.applied().front() == "command 1");
+}
+
+// Guards against a single instance that waits for an election or refuses work without a disk.
+BOOST_AUTO_TEST_CASE(LoneReplicaLeadsAtOnceInMemory)
+{
+    RecordingMachine machine;
+    InProcessCell::Node transport;
+    const SystemClock clock;
+    ReplicaSettings settings;
+    settings.self = InstanceId("only");
+    Replica replica(settings, machine, transport, clock);
+    BOOST_REQUIRE(ok(replica.start()));
+    replica.propose("command 1", [](const Error &error) { BOOST_ERROR(describe(error)); });
+    BOOST_TEST(machine.waitForCommands(1));
+    BOOST_TEST(replica.holdsLease());
+    replica.stop();
+    BOOST_TEST(!replica.holdsLease());
+    std::promise<Error> refused;
+    replica.propose("late", [&](const Error &error) { refused.set_value(error); });
+    BOOST_TEST((refused.get_future().get().outcome == Outcome::NotRun));
+    settings.initialMembership.voters = {InstanceId("only"), InstanceId("other")};
+    Replica second(settings, machine, transport, clock);
+    BOOST_TEST(!ok(second.start()));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
