--- a/libs/policy/src/preemption.cpp
+++ b/libs/policy/src/preemption.cpp
@@ -24,7 +24,7 @@
 
 using Progress = std::map<AttemptId, std::chrono::nanoseconds>;
 
-struct Plan
+struct VictimPlan
 {
     std::vector<const RunningTask *> victims;
     Loss loss;
@@ -57,7 +57,7 @@
 }
 
 /** Drops victims whose room turned out not to be needed, those that lose most first. */
-void dropUnneeded(Plan &plan, const Resources &free, const Resources &wanted,
+void dropUnneeded(VictimPlan &plan, const Resources &free, const Resources &wanted,
                   const Progress &progress)
 {
     for (std::size_t index = plan.victims.size(); index-- > 0;) {
@@ -77,7 +77,7 @@
     }
 }
 
-std::optional<Plan> planFor(const Instance &instance, std::vector<const RunningTask *> tasks,
+std::optional<VictimPlan> planFor(const Instance &instance, std::vector<const RunningTask *> tasks,
                             const Resources &wanted, const Progress &progress)
 {
     std::sort(tasks.begin(), tasks.end(), [&progress](const RunningTask *a, const RunningTask *b) {
@@ -89,7 +89,7 @@
     });
     const Resources free = freeCapacity(instance);
     Resources room = free;
-    Plan plan;
+    VictimPlan plan;
     for (const RunningTask *task : tasks) {
         if (!firstShortage(wanted, room)) {
             break;
@@ -145,7 +145,7 @@
             candidates[task.instance].push_back(&task);
         }
     }
-    std::optional<Plan> best;
+    std::optional<VictimPlan> best;
     for (const Instance &instance : instances) {
         const bool offers = need.service.empty() || instance.spec.upstream.service == need.service;
         if (!offers || firstShortage(need.amount, instance.spec.capacity)) {
--- a/libs/protocol/gen-cpp/gooseberry_types.cpp
+++ b/libs/protocol/gen-cpp/gooseberry_types.cpp
@@ -4375,6 +4375,10 @@
   this->learners = val;
 }
 
+void Membership::__set_disks(const std::map<std::string, int64_t> & val) {
+  this->disks = val;
+}
+
 uint32_t Membership::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
@@ -4389,6 +4393,7 @@
 
   bool isset_voters = false;
   bool isset_learners = false;
+  bool isset_disks = false;
 
   while (true)
   {
@@ -4440,6 +4445,29 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->disks.clear();
+            uint32_t _size196;
+            ::apache::thrift::protocol::TType _ktype197;
+            ::apache::thrift::protocol::TType _vtype198;
+            xfer += iprot->readMapBegin(_ktype197, _vtype198, _size196);
+            uint32_t _i200;
+            for (_i200 = 0; _i200 < _size196; ++_i200)
+            {
+              std::string _key201;
+              xfer += iprot->readString(_key201);
+              int64_t& _val202 = this->disks[_key201];
+              xfer += iprot->readI64(_val202);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          isset_disks = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4453,6 +4481,8 @@
     throw TProtocolException(TProtocolException::INVALID_DATA);
   if (!isset_learners)
     throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_disks)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
@@ -4464,10 +4494,10 @@
   xfer += oprot->writeFieldBegin("voters", ::apache::thrift::protocol::T_SET, 1);
   {
     xfer += oprot->writeSetBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->voters.size()));
-    std::set<std::string> ::const_iterator _iter196;
-    for (_iter196 = this->voters.begin(); _iter196 != this->voters.end(); ++_iter196)
+    std::set<std::string> ::const_iterator _iter203;
+    for (_iter203 = this->voters.begin(); _iter203 != this->voters.end(); ++_iter203)
     {
-      xfer += oprot->writeString((*_iter196));
+      xfer += oprot->writeString((*_iter203));
     }
     xfer += oprot->writeSetEnd();
   }
@@ -4476,15 +4506,28 @@
   xfer += oprot->writeFieldBegin("learners", ::apache::thrift::protocol::T_SET, 2);
   {
     xfer += oprot->writeSetBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->learners.size()));
-    std::set<std::string> ::const_iterator _iter197;
-    for (_iter197 = this->learners.begin(); _iter197 != this->learners.end(); ++_iter197)
+    std::set<std::string> ::const_iterator _iter204;
+    for (_iter204 = this->learners.begin(); _iter204 != this->learners.end(); ++_iter204)
     {
-      xfer += oprot->writeString((*_iter197));
+      xfer += oprot->writeString((*_iter204));
     }
     xfer += oprot->writeSetEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("disks", ::apache::thrift::protocol::T_MAP, 3);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->disks.size()));
+    std::map<std::string, int64_t> ::const_iterator _iter205;
+    for (_iter205 = this->disks.begin(); _iter205 != this->disks.end(); ++_iter205)
+    {
+      xfer += oprot->writeString(_iter205->first);
+      xfer += oprot->writeI64(_iter205->second);
+    }
+    xfer += oprot->writeMapEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4494,24 +4537,29 @@
   using ::std::swap;
   swap(a.voters, b.voters);
   swap(a.learners, b.learners);
+  swap(a.disks, b.disks);
 }
 
-Membership::Membership(const Membership& other198) {
-  voters = other198.voters;
-  learners = other198.learners;
+Membership::Membership(const Membership& other206) {
+  voters = other206.voters;
+  learners = other206.learners;
+  disks = other206.disks;
 }
-Membership::Membership(Membership&& other199) noexcept {
-  voters = std::move(other199.voters);
-  learners = std::move(other199.learners);
+Membership::Membership(Membership&& other207) noexcept {
+  voters = std::move(other207.voters);
+  learners = std::move(other207.learners);
+  disks = std::move(other207.disks);
 }
-Membership& Membership::operator=(const Membership& other200) {
-  voters = other200.voters;
-  learners = other200.learners;
+Membership& Membership::operator=(const Membership& other208) {
+  voters = other208.voters;
+  learners = other208.learners;
+  disks = other208.disks;
   return *this;
 }
-Membership& Membership::operator=(Membership&& other201) noexcept {
-  voters = std::move(other201.voters);
-  learners = std::move(other201.learners);
+Membership& Membership::operator=(Membership&& other209) noexcept {
+  voters = std::move(other209.voters);
+  learners = std::move(other209.learners);
+  disks = std::move(other209.disks);
   return *this;
 }
 
@@ -4666,38 +4714,38 @@
   swap(a.__isset, b.__isset);
 }
 
-LogEntry::LogEntry(const LogEntry& other202) {
-  index = other202.index;
-  term = other202.term;
-  kind = other202.kind;
-  payload = other202.payload;
-  membership = other202.membership;
-  __isset = other202.__isset;
-}
-LogEntry::LogEntry(LogEntry&& other203) noexcept {
-  index = other203.index;
-  term = other203.term;
-  kind = other203.kind;
-  payload = std::move(other203.payload);
-  membership = std::move(other203.membership);
-  __isset = other203.__isset;
-}
-LogEntry& LogEntry::operator=(const LogEntry& other204) {
-  index = other204.index;
-  term = other204.term;
-  kind = other204.kind;
-  payload = other204.payload;
-  membership = other204.membership;
-  __isset = other204.__isset;
+LogEntry::LogEntry(const LogEntry& other210) {
+  index = other210.index;
+  term = other210.term;
+  kind = other210.kind;
+  payload = other210.payload;
+  membership = other210.membership;
+  __isset = other210.__isset;
+}
+LogEntry::LogEntry(LogEntry&& other211) noexcept {
+  index = other211.index;
+  term = other211.term;
+  kind = other211.kind;
+  payload = std::move(other211.payload);
+  membership = std::move(other211.membership);
+  __isset = other211.__isset;
+}
+LogEntry& LogEntry::operator=(const LogEntry& other212) {
+  index = other212.index;
+  term = other212.term;
+  kind = other212.kind;
+  payload = other212.payload;
+  membership = other212.membership;
+  __isset = other212.__isset;
   return *this;
 }
-LogEntry& LogEntry::operator=(LogEntry&& other205) noexcept {
-  index = other205.index;
-  term = other205.term;
-  kind = other205.kind;
-  payload = std::move(other205.payload);
-  membership = std::move(other205.membership);
-  __isset = other205.__isset;
+LogEntry& LogEntry::operator=(LogEntry&& other213) noexcept {
+  index = other213.index;
+  term = other213.term;
+  kind = other213.kind;
+  payload = std::move(other213.payload);
+  membership = std::move(other213.membership);
+  __isset = other213.__isset;
   return *this;
 }
 
@@ -4812,26 +4860,26 @@
   swap(a.lastTerm, b.lastTerm);
 }
 
-PreVote::PreVote(const PreVote& other206) noexcept {
-  term = other206.term;
-  lastIndex = other206.lastIndex;
-  lastTerm = other206.lastTerm;
+PreVote::PreVote(const PreVote& other214) noexcept {
+  term = other214.term;
+  lastIndex = other214.lastIndex;
+  lastTerm = other214.lastTerm;
 }
-PreVote::PreVote(PreVote&& other207) noexcept {
-  term = other207.term;
-  lastIndex = other207.lastIndex;
-  lastTerm = other207.lastTerm;
+PreVote::PreVote(PreVote&& other215) noexcept {
+  term = other215.term;
+  lastIndex = other215.lastIndex;
+  lastTerm = other215.lastTerm;
 }
-PreVote& PreVote::operator=(const PreVote& other208) noexcept {
-  term = other208.term;
-  lastIndex = other208.lastIndex;
-  lastTerm = other208.lastTerm;
+PreVote& PreVote::operator=(const PreVote& other216) noexcept {
+  term = other216.term;
+  lastIndex = other216.lastIndex;
+  lastTerm = other216.lastTerm;
   return *this;
 }
-PreVote& PreVote::operator=(PreVote&& other209) noexcept {
-  term = other209.term;
-  lastIndex = other209.lastIndex;
-  lastTerm = other209.lastTerm;
+PreVote& PreVote::operator=(PreVote&& other217) noexcept {
+  term = other217.term;
+  lastIndex = other217.lastIndex;
+  lastTerm = other217.lastTerm;
   return *this;
 }
 
@@ -4847,6 +4895,10 @@
   this->granted = val;
 }
 
+void PreVoteReply::__set_disk(const int64_t val) {
+  this->disk = val;
+}
+
 uint32_t PreVoteReply::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
@@ -4861,6 +4913,7 @@
 
   bool isset_term = false;
   bool isset_granted = false;
+  bool isset_disk = false;
 
   while (true)
   {
@@ -4886,6 +4939,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->disk);
+          isset_disk = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4899,6 +4960,8 @@
     throw TProtocolException(TProtocolException::INVALID_DATA);
   if (!isset_granted)
     throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_disk)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
@@ -4915,6 +4978,10 @@
   xfer += oprot->writeBool(this->granted);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("disk", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->disk);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4924,24 +4991,29 @@
   using ::std::swap;
   swap(a.term, b.term);
   swap(a.granted, b.granted);
+  swap(a.disk, b.disk);
 }
 
-PreVoteReply::PreVoteReply(const PreVoteReply& other210) noexcept {
-  term = other210.term;
-  granted = other210.granted;
+PreVoteReply::PreVoteReply(const PreVoteReply& other218) noexcept {
+  term = other218.term;
+  granted = other218.granted;
+  disk = other218.disk;
 }
-PreVoteReply::PreVoteReply(PreVoteReply&& other211) noexcept {
-  term = other211.term;
-  granted = other211.granted;
+PreVoteReply::PreVoteReply(PreVoteReply&& other219) noexcept {
+  term = other219.term;
+  granted = other219.granted;
+  disk = other219.disk;
 }
-PreVoteReply& PreVoteReply::operator=(const PreVoteReply& other212) noexcept {
-  term = other212.term;
-  granted = other212.granted;
+PreVoteReply& PreVoteReply::operator=(const PreVoteReply& other220) noexcept {
+  term = other220.term;
+  granted = other220.granted;
+  disk = other220.disk;
   return *this;
 }
-PreVoteReply& PreVoteReply::operator=(PreVoteReply&& other213) noexcept {
-  term = other213.term;
-  granted = other213.granted;
+PreVoteReply& PreVoteReply::operator=(PreVoteReply&& other221) noexcept {
+  term = other221.term;
+  granted = other221.granted;
+  disk = other221.disk;
   return *this;
 }
 
@@ -5076,30 +5148,30 @@
   swap(a.handOver, b.handOver);
 }
 
-Vote::Vote(const Vote& other214) noexcept {
-  term = other214.term;
-  lastIndex = other214.lastIndex;
-  lastTerm = other214.lastTerm;
-  handOver = other214.handOver;
+Vote::Vote(const Vote& other222) noexcept {
+  term = other222.term;
+  lastIndex = other222.lastIndex;
+  lastTerm = other222.lastTerm;
+  handOver = other222.handOver;
 }
-Vote::Vote(Vote&& other215) noexcept {
-  term = other215.term;
-  lastIndex = other215.lastIndex;
-  lastTerm = other215.lastTerm;
-  handOver = other215.handOver;
+Vote::Vote(Vote&& other223) noexcept {
+  term = other223.term;
+  lastIndex = other223.lastIndex;
+  lastTerm = other223.lastTerm;
+  handOver = other223.handOver;
 }
-Vote& Vote::operator=(const Vote& other216) noexcept {
-  term = other216.term;
-  lastIndex = other216.lastIndex;
-  lastTerm = other216.lastTerm;
-  handOver = other216.handOver;
+Vote& Vote::operator=(const Vote& other224) noexcept {
+  term = other224.term;
+  lastIndex = other224.lastIndex;
+  lastTerm = other224.lastTerm;
+  handOver = other224.handOver;
   return *this;
 }
-Vote& Vote::operator=(Vote&& other217) noexcept {
-  term = other217.term;
-  lastIndex = other217.lastIndex;
-  lastTerm = other217.lastTerm;
-  handOver = other217.handOver;
+Vote& Vote::operator=(Vote&& other225) noexcept {
+  term = other225.term;
+  lastIndex = other225.lastIndex;
+  lastTerm = other225.lastTerm;
+  handOver = other225.handOver;
   return *this;
 }
 
@@ -5194,22 +5266,22 @@
   swap(a.granted, b.granted);
 }
 
-VoteReply::VoteReply(const VoteReply& other218) noexcept {
-  term = other218.term;
-  granted = other218.granted;
+VoteReply::VoteReply(const VoteReply& other226) noexcept {
+  term = other226.term;
+  granted = other226.granted;
 }
-VoteReply::VoteReply(VoteReply&& other219) noexcept {
-  term = other219.term;
-  granted = other219.granted;
+VoteReply::VoteReply(VoteReply&& other227) noexcept {
+  term = other227.term;
+  granted = other227.granted;
 }
-VoteReply& VoteReply::operator=(const VoteReply& other220) noexcept {
-  term = other220.term;
-  granted = other220.granted;
+VoteReply& VoteReply::operator=(const VoteReply& other228) noexcept {
+  term = other228.term;
+  granted = other228.granted;
   return *this;
 }
-VoteReply& VoteReply::operator=(VoteReply&& other221) noexcept {
-  term = other221.term;
-  granted = other221.granted;
+VoteReply& VoteReply::operator=(VoteReply&& other229) noexcept {
+  term = other229.term;
+  granted = other229.granted;
   return *this;
 }
 
@@ -5296,14 +5368,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size222;
-            ::apache::thrift::protocol::TType _etype225;
-            xfer += iprot->readListBegin(_etype225, _size222);
-            this->entries.resize(_size222);
-            uint32_t _i226;
-            for (_i226 = 0; _i226 < _size222; ++_i226)
+            uint32_t _size230;
+            ::apache::thrift::protocol::TType _etype233;
+            xfer += iprot->readListBegin(_etype233, _size230);
+            this->entries.resize(_size230);
+            uint32_t _i234;
+            for (_i234 = 0; _i234 < _size230; ++_i234)
             {
-              xfer += this->entries[_i226].read(iprot);
+              xfer += this->entries[_i234].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5372,10 +5444,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<LogEntry> ::const_iterator _iter227;
-    for (_iter227 = this->entries.begin(); _iter227 != this->entries.end(); ++_iter227)
+    std::vector<LogEntry> ::const_iterator _iter235;
+    for (_iter235 = this->entries.begin(); _iter235 != this->entries.end(); ++_iter235)
     {
-      xfer += (*_iter227).write(oprot);
+      xfer += (*_iter235).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5404,38 +5476,38 @@
   swap(a.round, b.round);
 }
 
-Append::Append(const Append& other228) {
-  term = other228.term;
-  prevIndex = other228.prevIndex;
-  prevTerm = other228.prevTerm;
-  entries = other228.entries;
-  commit = other228.commit;
-  round = other228.round;
+Append::Append(const Append& other236) {
+  term = other236.term;
+  prevIndex = other236.prevIndex;
+  prevTerm = other236.prevTerm;
+  entries = other236.entries;
+  commit = other236.commit;
+  round = other236.round;
 }
-Append::Append(Append&& other229) noexcept {
-  term = other229.term;
-  prevIndex = other229.prevIndex;
-  prevTerm = other229.prevTerm;
-  entries = std::move(other229.entries);
-  commit = other229.commit;
-  round = other229.round;
-}
-Append& Append::operator=(const Append& other230) {
-  term = other230.term;
-  prevIndex = other230.prevIndex;
-  prevTerm = other230.prevTerm;
-  entries = other230.entries;
-  commit = other230.commit;
-  round = other230.round;
+Append::Append(Append&& other237) noexcept {
+  term = other237.term;
+  prevIndex = other237.prevIndex;
+  prevTerm = other237.prevTerm;
+  entries = std::move(other237.entries);
+  commit = other237.commit;
+  round = other237.round;
+}
+Append& Append::operator=(const Append& other238) {
+  term = other238.term;
+  prevIndex = other238.prevIndex;
+  prevTerm = other238.prevTerm;
+  entries = other238.entries;
+  commit = other238.commit;
+  round = other238.round;
   return *this;
 }
-Append& Append::operator=(Append&& other231) noexcept {
-  term = other231.term;
-  prevIndex = other231.prevIndex;
-  prevTerm = other231.prevTerm;
-  entries = std::move(other231.entries);
-  commit = other231.commit;
-  round = other231.round;
+Append& Append::operator=(Append&& other239) noexcept {
+  term = other239.term;
+  prevIndex = other239.prevIndex;
+  prevTerm = other239.prevTerm;
+  entries = std::move(other239.entries);
+  commit = other239.commit;
+  round = other239.round;
   return *this;
 }
 
@@ -5459,6 +5531,10 @@
   this->round = val;
 }
 
+void AppendReply::__set_disk(const int64_t val) {
+  this->disk = val;
+}
+
 uint32_t AppendReply::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
@@ -5475,6 +5551,7 @@
   bool isset_success = false;
   bool isset_matchIndex = false;
   bool isset_round = false;
+  bool isset_disk = false;
 
   while (true)
   {
@@ -5516,6 +5593,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->disk);
+          isset_disk = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5533,6 +5618,8 @@
     throw TProtocolException(TProtocolException::INVALID_DATA);
   if (!isset_round)
     throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_disk)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
@@ -5557,6 +5644,10 @@
   xfer += oprot->writeI64(this->round);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("disk", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->disk);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5568,32 +5659,37 @@
   swap(a.success, b.success);
   swap(a.matchIndex, b.matchIndex);
   swap(a.round, b.round);
+  swap(a.disk, b.disk);
 }
 
-AppendReply::AppendReply(const AppendReply& other232) noexcept {
-  term = other232.term;
-  success = other232.success;
-  matchIndex = other232.matchIndex;
-  round = other232.round;
+AppendReply::AppendReply(const AppendReply& other240) noexcept {
+  term = other240.term;
+  success = other240.success;
+  matchIndex = other240.matchIndex;
+  round = other240.round;
+  disk = other240.disk;
 }
-AppendReply::AppendReply(AppendReply&& other233) noexcept {
-  term = other233.term;
-  success = other233.success;
-  matchIndex = other233.matchIndex;
-  round = other233.round;
+AppendReply::AppendReply(AppendReply&& other241) noexcept {
+  term = other241.term;
+  success = other241.success;
+  matchIndex = other241.matchIndex;
+  round = other241.round;
+  disk = other241.disk;
 }
-AppendReply& AppendReply::operator=(const AppendReply& other234) noexcept {
-  term = other234.term;
-  success = other234.success;
-  matchIndex = other234.matchIndex;
-  round = other234.round;
+AppendReply& AppendReply::operator=(const AppendReply& other242) noexcept {
+  term = other242.term;
+  success = other242.success;
+  matchIndex = other242.matchIndex;
+  round = other242.round;
+  disk = other242.disk;
   return *this;
 }
-AppendReply& AppendReply::operator=(AppendReply&& other235) noexcept {
-  term = other235.term;
-  success = other235.success;
-  matchIndex = other235.matchIndex;
-  round = other235.round;
+AppendReply& AppendReply::operator=(AppendReply&& other243) noexcept {
+  term = other243.term;
+  success = other243.success;
+  matchIndex = other243.matchIndex;
+  round = other243.round;
+  disk = other243.disk;
   return *this;
 }
 
@@ -5788,42 +5884,42 @@
   swap(a.last, b.last);
 }
 
-InstallSnapshot::InstallSnapshot(const InstallSnapshot& other236) {
-  term = other236.term;
-  lastIndex = other236.lastIndex;
-  lastTerm = other236.lastTerm;
-  membership = other236.membership;
-  offset = other236.offset;
-  chunk = other236.chunk;
-  last = other236.last;
-}
-InstallSnapshot::InstallSnapshot(InstallSnapshot&& other237) noexcept {
-  term = other237.term;
-  lastIndex = other237.lastIndex;
-  lastTerm = other237.lastTerm;
-  membership = std::move(other237.membership);
-  offset = other237.offset;
-  chunk = std::move(other237.chunk);
-  last = other237.last;
-}
-InstallSnapshot& InstallSnapshot::operator=(const InstallSnapshot& other238) {
-  term = other238.term;
-  lastIndex = other238.lastIndex;
-  lastTerm = other238.lastTerm;
-  membership = other238.membership;
-  offset = other238.offset;
-  chunk = other238.chunk;
-  last = other238.last;
+InstallSnapshot::InstallSnapshot(const InstallSnapshot& other244) {
+  term = other244.term;
+  lastIndex = other244.lastIndex;
+  lastTerm = other244.lastTerm;
+  membership = other244.membership;
+  offset = other244.offset;
+  chunk = other244.chunk;
+  last = other244.last;
+}
+InstallSnapshot::InstallSnapshot(InstallSnapshot&& other245) noexcept {
+  term = other245.term;
+  lastIndex = other245.lastIndex;
+  lastTerm = other245.lastTerm;
+  membership = std::move(other245.membership);
+  offset = other245.offset;
+  chunk = std::move(other245.chunk);
+  last = other245.last;
+}
+InstallSnapshot& InstallSnapshot::operator=(const InstallSnapshot& other246) {
+  term = other246.term;
+  lastIndex = other246.lastIndex;
+  lastTerm = other246.lastTerm;
+  membership = other246.membership;
+  offset = other246.offset;
+  chunk = other246.chunk;
+  last = other246.last;
   return *this;
 }
-InstallSnapshot& InstallSnapshot::operator=(InstallSnapshot&& other239) noexcept {
-  term = other239.term;
-  lastIndex = other239.lastIndex;
-  lastTerm = other239.lastTerm;
-  membership = std::move(other239.membership);
-  offset = other239.offset;
-  chunk = std::move(other239.chunk);
-  last = other239.last;
+InstallSnapshot& InstallSnapshot::operator=(InstallSnapshot&& other247) noexcept {
+  term = other247.term;
+  lastIndex = other247.lastIndex;
+  lastTerm = other247.lastTerm;
+  membership = std::move(other247.membership);
+  offset = other247.offset;
+  chunk = std::move(other247.chunk);
+  last = other247.last;
   return *this;
 }
 
@@ -5843,6 +5939,10 @@
   this->nextOffset = val;
 }
 
+void InstallSnapshotReply::__set_complete(const bool val) {
+  this->complete = val;
+}
+
 uint32_t InstallSnapshotReply::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
@@ -5858,6 +5958,7 @@
   bool isset_term = false;
   bool isset_lastIndex = false;
   bool isset_nextOffset = false;
+  bool isset_complete = false;
 
   while (true)
   {
@@ -5891,6 +5992,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->complete);
+          isset_complete = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5906,6 +6015,8 @@
     throw TProtocolException(TProtocolException::INVALID_DATA);
   if (!isset_nextOffset)
     throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_complete)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
@@ -5926,6 +6037,10 @@
   xfer += oprot->writeI64(this->nextOffset);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("complete", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->complete);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5936,28 +6051,33 @@
   swap(a.term, b.term);
   swap(a.lastIndex, b.lastIndex);
   swap(a.nextOffset, b.nextOffset);
-}
-
-InstallSnapshotReply::InstallSnapshotReply(const InstallSnapshotReply& other240) noexcept {
-  term = other240.term;
-  lastIndex = other240.lastIndex;
-  nextOffset = other240.nextOffset;
-}
-InstallSnapshotReply::InstallSnapshotReply(InstallSnapshotReply&& other241) noexcept {
-  term = other241.term;
-  lastIndex = other241.lastIndex;
-  nextOffset = other241.nextOffset;
-}
-InstallSnapshotReply& InstallSnapshotReply::operator=(const InstallSnapshotReply& other242) noexcept {
-  term = other242.term;
-  lastIndex = other242.lastIndex;
-  nextOffset = other242.nextOffset;
+  swap(a.complete, b.complete);
+}
+
+InstallSnapshotReply::InstallSnapshotReply(const InstallSnapshotReply& other248) noexcept {
+  term = other248.term;
+  lastIndex = other248.lastIndex;
+  nextOffset = other248.nextOffset;
+  complete = other248.complete;
+}
+InstallSnapshotReply::InstallSnapshotReply(InstallSnapshotReply&& other249) noexcept {
+  term = other249.term;
+  lastIndex = other249.lastIndex;
+  nextOffset = other249.nextOffset;
+  complete = other249.complete;
+}
+InstallSnapshotReply& InstallSnapshotReply::operator=(const InstallSnapshotReply& other250) noexcept {
+  term = other250.term;
+  lastIndex = other250.lastIndex;
+  nextOffset = other250.nextOffset;
+  complete = other250.complete;
   return *this;
 }
-InstallSnapshotReply& InstallSnapshotReply::operator=(InstallSnapshotReply&& other243) noexcept {
-  term = other243.term;
-  lastIndex = other243.lastIndex;
-  nextOffset = other243.nextOffset;
+InstallSnapshotReply& InstallSnapshotReply::operator=(InstallSnapshotReply&& other251) noexcept {
+  term = other251.term;
+  lastIndex = other251.lastIndex;
+  nextOffset = other251.nextOffset;
+  complete = other251.complete;
   return *this;
 }
 
@@ -6032,18 +6152,18 @@
   swap(a.term, b.term);
 }
 
-TimeoutNow::TimeoutNow(const TimeoutNow& other244) noexcept {
-  term = other244.term;
+TimeoutNow::TimeoutNow(const TimeoutNow& other252) noexcept {
+  term = other252.term;
 }
-TimeoutNow::TimeoutNow(TimeoutNow&& other245) noexcept {
-  term = other245.term;
+TimeoutNow::TimeoutNow(TimeoutNow&& other253) noexcept {
+  term = other253.term;
 }
-TimeoutNow& TimeoutNow::operator=(const TimeoutNow& other246) noexcept {
-  term = other246.term;
+TimeoutNow& TimeoutNow::operator=(const TimeoutNow& other254) noexcept {
+  term = other254.term;
   return *this;
 }
-TimeoutNow& TimeoutNow::operator=(TimeoutNow&& other247) noexcept {
-  term = other247.term;
+TimeoutNow& TimeoutNow::operator=(TimeoutNow&& other255) noexcept {
+  term = other255.term;
   return *this;
 }
 
@@ -6270,54 +6390,54 @@
   swap(a.__isset, b.__isset);
 }
 
-QuorumMessage::QuorumMessage(const QuorumMessage& other248) {
-  preVote = other248.preVote;
-  preVoteReply = other248.preVoteReply;
-  vote = other248.vote;
-  voteReply = other248.voteReply;
-  append = other248.append;
-  appendReply = other248.appendReply;
-  installSnapshot = other248.installSnapshot;
-  installSnapshotReply = other248.installSnapshotReply;
-  timeoutNow = other248.timeoutNow;
-  __isset = other248.__isset;
-}
-QuorumMessage::QuorumMessage(QuorumMessage&& other249) noexcept {
-  preVote = std::move(other249.preVote);
-  preVoteReply = std::move(other249.preVoteReply);
-  vote = std::move(other249.vote);
-  voteReply = std::move(other249.voteReply);
-  append = std::move(other249.append);
-  appendReply = std::move(other249.appendReply);
-  installSnapshot = std::move(other249.installSnapshot);
-  installSnapshotReply = std::move(other249.installSnapshotReply);
-  timeoutNow = std::move(other249.timeoutNow);
-  __isset = other249.__isset;
-}
-QuorumMessage& QuorumMessage::operator=(const QuorumMessage& other250) {
-  preVote = other250.preVote;
-  preVoteReply = other250.preVoteReply;
-  vote = other250.vote;
-  voteReply = other250.voteReply;
-  append = other250.append;
-  appendReply = other250.appendReply;
-  installSnapshot = other250.installSnapshot;
-  installSnapshotReply = other250.installSnapshotReply;
-  timeoutNow = other250.timeoutNow;
-  __isset = other250.__isset;
+QuorumMessage::QuorumMessage(const QuorumMessage& other256) {
+  preVote = other256.preVote;
+  preVoteReply = other256.preVoteReply;
+  vote = other256.vote;
+  voteReply = other256.voteReply;
+  append = other256.append;
+  appendReply = other256.appendReply;
+  installSnapshot = other256.installSnapshot;
+  installSnapshotReply = other256.installSnapshotReply;
+  timeoutNow = other256.timeoutNow;
+  __isset = other256.__isset;
+}
+QuorumMessage::QuorumMessage(QuorumMessage&& other257) noexcept {
+  preVote = std::move(other257.preVote);
+  preVoteReply = std::move(other257.preVoteReply);
+  vote = std::move(other257.vote);
+  voteReply = std::move(other257.voteReply);
+  append = std::move(other257.append);
+  appendReply = std::move(other257.appendReply);
+  installSnapshot = std::move(other257.installSnapshot);
+  installSnapshotReply = std::move(other257.installSnapshotReply);
+  timeoutNow = std::move(other257.timeoutNow);
+  __isset = other257.__isset;
+}
+QuorumMessage& QuorumMessage::operator=(const QuorumMessage& other258) {
+  preVote = other258.preVote;
+  preVoteReply = other258.preVoteReply;
+  vote = other258.vote;
+  voteReply = other258.voteReply;
+  append = other258.append;
+  appendReply = other258.appendReply;
+  installSnapshot = other258.installSnapshot;
+  installSnapshotReply = other258.installSnapshotReply;
+  timeoutNow = other258.timeoutNow;
+  __isset = other258.__isset;
   return *this;
 }
-QuorumMessage& QuorumMessage::operator=(QuorumMessage&& other251) noexcept {
-  preVote = std::move(other251.preVote);
-  preVoteReply = std::move(other251.preVoteReply);
-  vote = std::move(other251.vote);
-  voteReply = std::move(other251.voteReply);
-  append = std::move(other251.append);
-  appendReply = std::move(other251.appendReply);
-  installSnapshot = std::move(other251.installSnapshot);
-  installSnapshotReply = std::move(other251.installSnapshotReply);
-  timeoutNow = std::move(other251.timeoutNow);
-  __isset = other251.__isset;
+QuorumMessage& QuorumMessage::operator=(QuorumMessage&& other259) noexcept {
+  preVote = std::move(other259.preVote);
+  preVoteReply = std::move(other259.preVoteReply);
+  vote = std::move(other259.vote);
+  voteReply = std::move(other259.voteReply);
+  append = std::move(other259.append);
+  appendReply = std::move(other259.appendReply);
+  installSnapshot = std::move(other259.installSnapshot);
+  installSnapshotReply = std::move(other259.installSnapshotReply);
+  timeoutNow = std::move(other259.timeoutNow);
+  __isset = other259.__isset;
   return *this;
 }
 
@@ -6391,17 +6511,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->headers.clear();
-            uint32_t _size252;
-            ::apache::thrift::protocol::TType _ktype253;
-            ::apache::thrift::protocol::TType _vtype254;
-            xfer += iprot->readMapBegin(_ktype253, _vtype254, _size252);
-            uint32_t _i256;
-            for (_i256 = 0; _i256 < _size252; ++_i256)
+            uint32_t _size260;
+            ::apache::thrift::protocol::TType _ktype261;
+            ::apache::thrift::protocol::TType _vtype262;
+            xfer += iprot->readMapBegin(_ktype261, _vtype262, _size260);
+            uint32_t _i264;
+            for (_i264 = 0; _i264 < _size260; ++_i264)
             {
-              std::string _key257;
-              xfer += iprot->readString(_key257);
-              std::string& _val258 = this->headers[_key257];
-              xfer += iprot->readString(_val258);
+              std::string _key265;
+              xfer += iprot->readString(_key265);
+              std::string& _val266 = this->headers[_key265];
+              xfer += iprot->readString(_val266);
             }
             xfer += iprot->readMapEnd();
           }
@@ -6464,11 +6584,11 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_MAP, 3);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->headers.size()));
-    std::map<std::string, std::string> ::const_iterator _iter259;
-    for (_iter259 = this->headers.begin(); _iter259 != this->headers.end(); ++_iter259)
+    std::map<std::string, std::string> ::const_iterator _iter267;
+    for (_iter267 = this->headers.begin(); _iter267 != this->headers.end(); ++_iter267)
     {
-      xfer += oprot->writeString(_iter259->first);
-      xfer += oprot->writeString(_iter259->second);
+      xfer += oprot->writeString(_iter267->first);
+      xfer += oprot->writeString(_iter267->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -6496,34 +6616,34 @@
   swap(a.peer, b.peer);
 }
 
-HttpRequest::HttpRequest(const HttpRequest& other260) {
-  method = other260.method;
-  target = other260.target;
-  headers = other260.headers;
-  body = other260.body;
-  peer = other260.peer;
-}
-HttpRequest::HttpRequest(HttpRequest&& other261) noexcept {
-  method = std::move(other261.method);
-  target = std::move(other261.target);
-  headers = std::move(other261.headers);
-  body = std::move(other261.body);
-  peer = std::move(other261.peer);
-}
-HttpRequest& HttpRequest::operator=(const HttpRequest& other262) {
-  method = other262.method;
-  target = other262.target;
-  headers = other262.headers;
-  body = other262.body;
-  peer = other262.peer;
+HttpRequest::HttpRequest(const HttpRequest& other268) {
+  method = other268.method;
+  target = other268.target;
+  headers = other268.headers;
+  body = other268.body;
+  peer = other268.peer;
+}
+HttpRequest::HttpRequest(HttpRequest&& other269) noexcept {
+  method = std::move(other269.method);
+  target = std::move(other269.target);
+  headers = std::move(other269.headers);
+  body = std::move(other269.body);
+  peer = std::move(other269.peer);
+}
+HttpRequest& HttpRequest::operator=(const HttpRequest& other270) {
+  method = other270.method;
+  target = other270.target;
+  headers = other270.headers;
+  body = other270.body;
+  peer = other270.peer;
   return *this;
 }
-HttpRequest& HttpRequest::operator=(HttpRequest&& other263) noexcept {
-  method = std::move(other263.method);
-  target = std::move(other263.target);
-  headers = std::move(other263.headers);
-  body = std::move(other263.body);
-  peer = std::move(other263.peer);
+HttpRequest& HttpRequest::operator=(HttpRequest&& other271) noexcept {
+  method = std::move(other271.method);
+  target = std::move(other271.target);
+  headers = std::move(other271.headers);
+  body = std::move(other271.body);
+  peer = std::move(other271.peer);
   return *this;
 }
 
@@ -6579,17 +6699,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->headers.clear();
-            uint32_t _size264;
-            ::apache::thrift::protocol::TType _ktype265;
-            ::apache::thrift::protocol::TType _vtype266;
-            xfer += iprot->readMapBegin(_ktype265, _vtype266, _size264);
-            uint32_t _i268;
-            for (_i268 = 0; _i268 < _size264; ++_i268)
+            uint32_t _size272;
+            ::apache::thrift::protocol::TType _ktype273;
+            ::apache::thrift::protocol::TType _vtype274;
+            xfer += iprot->readMapBegin(_ktype273, _vtype274, _size272);
+            uint32_t _i276;
+            for (_i276 = 0; _i276 < _size272; ++_i276)
             {
-              std::string _key269;
-              xfer += iprot->readString(_key269);
-              std::string& _val270 = this->headers[_key269];
-              xfer += iprot->readString(_val270);
+              std::string _key277;
+              xfer += iprot->readString(_key277);
+              std::string& _val278 = this->headers[_key277];
+              xfer += iprot->readString(_val278);
             }
             xfer += iprot->readMapEnd();
           }
@@ -6636,11 +6756,11 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_MAP, 2);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->headers.size()));
-    std::map<std::string, std::string> ::const_iterator _iter271;
-    for (_iter271 = this->headers.begin(); _iter271 != this->headers.end(); ++_iter271)
+    std::map<std::string, std::string> ::const_iterator _iter279;
+    for (_iter279 = this->headers.begin(); _iter279 != this->headers.end(); ++_iter279)
     {
-      xfer += oprot->writeString(_iter271->first);
-      xfer += oprot->writeString(_iter271->second);
+      xfer += oprot->writeString(_iter279->first);
+      xfer += oprot->writeString(_iter279->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -6662,26 +6782,26 @@
   swap(a.body, b.body);
 }
 
-HttpResponse::HttpResponse(const HttpResponse& other272) {
-  status = other272.status;
-  headers = other272.headers;
-  body = other272.body;
+HttpResponse::HttpResponse(const HttpResponse& other280) {
+  status = other280.status;
+  headers = other280.headers;
+  body = other280.body;
 }
-HttpResponse::HttpResponse(HttpResponse&& other273) noexcept {
-  status = other273.status;
-  headers = std::move(other273.headers);
-  body = std::move(other273.body);
+HttpResponse::HttpResponse(HttpResponse&& other281) noexcept {
+  status = other281.status;
+  headers = std::move(other281.headers);
+  body = std::move(other281.body);
 }
-HttpResponse& HttpResponse::operator=(const HttpResponse& other274) {
-  status = other274.status;
-  headers = other274.headers;
-  body = other274.body;
+HttpResponse& HttpResponse::operator=(const HttpResponse& other282) {
+  status = other282.status;
+  headers = other282.headers;
+  body = other282.body;
   return *this;
 }
-HttpResponse& HttpResponse::operator=(HttpResponse&& other275) noexcept {
-  status = other275.status;
-  headers = std::move(other275.headers);
-  body = std::move(other275.body);
+HttpResponse& HttpResponse::operator=(HttpResponse&& other283) noexcept {
+  status = other283.status;
+  headers = std::move(other283.headers);
+  body = std::move(other283.body);
   return *this;
 }
 
@@ -6836,34 +6956,34 @@
   swap(a.outcome, b.outcome);
 }
 
-Error::Error(const Error& other276) {
-  code = other276.code;
-  step = other276.step;
-  peer = other276.peer;
-  message = other276.message;
-  outcome = other276.outcome;
-}
-Error::Error(Error&& other277) noexcept {
-  code = other277.code;
-  step = other277.step;
-  peer = std::move(other277.peer);
-  message = std::move(other277.message);
-  outcome = other277.outcome;
-}
-Error& Error::operator=(const Error& other278) {
-  code = other278.code;
-  step = other278.step;
-  peer = other278.peer;
-  message = other278.message;
-  outcome = other278.outcome;
+Error::Error(const Error& other284) {
+  code = other284.code;
+  step = other284.step;
+  peer = other284.peer;
+  message = other284.message;
+  outcome = other284.outcome;
+}
+Error::Error(Error&& other285) noexcept {
+  code = other285.code;
+  step = other285.step;
+  peer = std::move(other285.peer);
+  message = std::move(other285.message);
+  outcome = other285.outcome;
+}
+Error& Error::operator=(const Error& other286) {
+  code = other286.code;
+  step = other286.step;
+  peer = other286.peer;
+  message = other286.message;
+  outcome = other286.outcome;
   return *this;
 }
-Error& Error::operator=(Error&& other279) noexcept {
-  code = other279.code;
-  step = other279.step;
-  peer = std::move(other279.peer);
-  message = std::move(other279.message);
-  outcome = other279.outcome;
+Error& Error::operator=(Error&& other287) noexcept {
+  code = other287.code;
+  step = other287.step;
+  peer = std::move(other287.peer);
+  message = std::move(other287.message);
+  outcome = other287.outcome;
   return *this;
 }
 
@@ -6978,26 +7098,26 @@
   swap(a.request, b.request);
 }
 
-Forward::Forward(const Forward& other280) {
-  id = other280.id;
-  deadline = other280.deadline;
-  request = other280.request;
+Forward::Forward(const Forward& other288) {
+  id = other288.id;
+  deadline = other288.deadline;
+  request = other288.request;
 }
-Forward::Forward(Forward&& other281) noexcept {
-  id = other281.id;
-  deadline = other281.deadline;
-  request = std::move(other281.request);
+Forward::Forward(Forward&& other289) noexcept {
+  id = other289.id;
+  deadline = other289.deadline;
+  request = std::move(other289.request);
 }
-Forward& Forward::operator=(const Forward& other282) {
-  id = other282.id;
-  deadline = other282.deadline;
-  request = other282.request;
+Forward& Forward::operator=(const Forward& other290) {
+  id = other290.id;
+  deadline = other290.deadline;
+  request = other290.request;
   return *this;
 }
-Forward& Forward::operator=(Forward&& other283) noexcept {
-  id = other283.id;
-  deadline = other283.deadline;
-  request = std::move(other283.request);
+Forward& Forward::operator=(Forward&& other291) noexcept {
+  id = other291.id;
+  deadline = other291.deadline;
+  request = std::move(other291.request);
   return *this;
 }
 
@@ -7091,26 +7211,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ForwardResult::ForwardResult(const ForwardResult& other284) {
-  response = other284.response;
-  error = other284.error;
-  __isset = other284.__isset;
+ForwardResult::ForwardResult(const ForwardResult& other292) {
+  response = other292.response;
+  error = other292.error;
+  __isset = other292.__isset;
 }
-ForwardResult::ForwardResult(ForwardResult&& other285) noexcept {
-  response = std::move(other285.response);
-  error = std::move(other285.error);
-  __isset = other285.__isset;
+ForwardResult::ForwardResult(ForwardResult&& other293) noexcept {
+  response = std::move(other293.response);
+  error = std::move(other293.error);
+  __isset = other293.__isset;
 }
-ForwardResult& ForwardResult::operator=(const ForwardResult& other286) {
-  response = other286.response;
-  error = other286.error;
-  __isset = other286.__isset;
+ForwardResult& ForwardResult::operator=(const ForwardResult& other294) {
+  response = other294.response;
+  error = other294.error;
+  __isset = other294.__isset;
   return *this;
 }
-ForwardResult& ForwardResult::operator=(ForwardResult&& other287) noexcept {
-  response = std::move(other287.response);
-  error = std::move(other287.error);
-  __isset = other287.__isset;
+ForwardResult& ForwardResult::operator=(ForwardResult&& other295) noexcept {
+  response = std::move(other295.response);
+  error = std::move(other295.error);
+  __isset = other295.__isset;
   return *this;
 }
 
@@ -7205,22 +7325,22 @@
   swap(a.result, b.result);
 }
 
-ForwardReply::ForwardReply(const ForwardReply& other288) {
-  id = other288.id;
-  result = other288.result;
+ForwardReply::ForwardReply(const ForwardReply& other296) {
+  id = other296.id;
+  result = other296.result;
 }
-ForwardReply::ForwardReply(ForwardReply&& other289) noexcept {
-  id = other289.id;
-  result = std::move(other289.result);
+ForwardReply::ForwardReply(ForwardReply&& other297) noexcept {
+  id = other297.id;
+  result = std::move(other297.result);
 }
-ForwardReply& ForwardReply::operator=(const ForwardReply& other290) {
-  id = other290.id;
-  result = other290.result;
+ForwardReply& ForwardReply::operator=(const ForwardReply& other298) {
+  id = other298.id;
+  result = other298.result;
   return *this;
 }
-ForwardReply& ForwardReply::operator=(ForwardReply&& other291) noexcept {
-  id = other291.id;
-  result = std::move(other291.result);
+ForwardReply& ForwardReply::operator=(ForwardReply&& other299) noexcept {
+  id = other299.id;
+  result = std::move(other299.result);
   return *this;
 }
 
@@ -7315,26 +7435,26 @@
   swap(a.__isset, b.__isset);
 }
 
-LeaderHint::LeaderHint(const LeaderHint& other292) {
-  leader = other292.leader;
-  term = other292.term;
-  __isset = other292.__isset;
+LeaderHint::LeaderHint(const LeaderHint& other300) {
+  leader = other300.leader;
+  term = other300.term;
+  __isset = other300.__isset;
 }
-LeaderHint::LeaderHint(LeaderHint&& other293) noexcept {
-  leader = std::move(other293.leader);
-  term = other293.term;
-  __isset = other293.__isset;
+LeaderHint::LeaderHint(LeaderHint&& other301) noexcept {
+  leader = std::move(other301.leader);
+  term = other301.term;
+  __isset = other301.__isset;
 }
-LeaderHint& LeaderHint::operator=(const LeaderHint& other294) {
-  leader = other294.leader;
-  term = other294.term;
-  __isset = other294.__isset;
+LeaderHint& LeaderHint::operator=(const LeaderHint& other302) {
+  leader = other302.leader;
+  term = other302.term;
+  __isset = other302.__isset;
   return *this;
 }
-LeaderHint& LeaderHint::operator=(LeaderHint&& other295) noexcept {
-  leader = std::move(other295.leader);
-  term = other295.term;
-  __isset = other295.__isset;
+LeaderHint& LeaderHint::operator=(LeaderHint&& other303) noexcept {
+  leader = std::move(other303.leader);
+  term = other303.term;
+  __isset = other303.__isset;
   return *this;
 }
 
@@ -7466,34 +7586,34 @@
   swap(a.__isset, b.__isset);
 }
 
-PeerMessage::PeerMessage(const PeerMessage& other296) {
-  quorum = other296.quorum;
-  forward = other296.forward;
-  forwardReply = other296.forwardReply;
-  leaderHint = other296.leaderHint;
-  __isset = other296.__isset;
-}
-PeerMessage::PeerMessage(PeerMessage&& other297) noexcept {
-  quorum = std::move(other297.quorum);
-  forward = std::move(other297.forward);
-  forwardReply = std::move(other297.forwardReply);
-  leaderHint = std::move(other297.leaderHint);
-  __isset = other297.__isset;
-}
-PeerMessage& PeerMessage::operator=(const PeerMessage& other298) {
-  quorum = other298.quorum;
-  forward = other298.forward;
-  forwardReply = other298.forwardReply;
-  leaderHint = other298.leaderHint;
-  __isset = other298.__isset;
+PeerMessage::PeerMessage(const PeerMessage& other304) {
+  quorum = other304.quorum;
+  forward = other304.forward;
+  forwardReply = other304.forwardReply;
+  leaderHint = other304.leaderHint;
+  __isset = other304.__isset;
+}
+PeerMessage::PeerMessage(PeerMessage&& other305) noexcept {
+  quorum = std::move(other305.quorum);
+  forward = std::move(other305.forward);
+  forwardReply = std::move(other305.forwardReply);
+  leaderHint = std::move(other305.leaderHint);
+  __isset = other305.__isset;
+}
+PeerMessage& PeerMessage::operator=(const PeerMessage& other306) {
+  quorum = other306.quorum;
+  forward = other306.forward;
+  forwardReply = other306.forwardReply;
+  leaderHint = other306.leaderHint;
+  __isset = other306.__isset;
   return *this;
 }
-PeerMessage& PeerMessage::operator=(PeerMessage&& other299) noexcept {
-  quorum = std::move(other299.quorum);
-  forward = std::move(other299.forward);
-  forwardReply = std::move(other299.forwardReply);
-  leaderHint = std::move(other299.leaderHint);
-  __isset = other299.__isset;
+PeerMessage& PeerMessage::operator=(PeerMessage&& other307) noexcept {
+  quorum = std::move(other307.quorum);
+  forward = std::move(other307.forward);
+  forwardReply = std::move(other307.forwardReply);
+  leaderHint = std::move(other307.leaderHint);
+  __isset = other307.__isset;
   return *this;
 }
 }} // namespace
--- a/libs/protocol/gen-cpp/gooseberry_types.h
+++ b/libs/protocol/gen-cpp/gooseberry_types.h
@@ -1598,17 +1598,22 @@
   virtual ~Membership() noexcept;
   std::set<std::string>  voters;
   std::set<std::string>  learners;
+  std::map<std::string, int64_t>  disks;
 
   void __set_voters(const std::set<std::string> & val);
 
   void __set_learners(const std::set<std::string> & val);
 
+  void __set_disks(const std::map<std::string, int64_t> & val);
+
   bool operator == (const Membership & rhs) const
   {
     if (!(voters == rhs.voters))
       return false;
     if (!(learners == rhs.learners))
       return false;
+    if (!(disks == rhs.disks))
+      return false;
     return true;
   }
   bool operator != (const Membership &rhs) const {
@@ -1755,23 +1760,29 @@
   PreVoteReply& operator=(PreVoteReply&&) noexcept;
   PreVoteReply() noexcept
                : term(0),
-                 granted(0) {
+                 granted(0),
+                 disk(0) {
   }
 
   virtual ~PreVoteReply() noexcept;
   int64_t term;
   bool granted;
+  int64_t disk;
 
   void __set_term(const int64_t val);
 
   void __set_granted(const bool val);
 
+  void __set_disk(const int64_t val);
+
   bool operator == (const PreVoteReply & rhs) const
   {
     if (!(term == rhs.term))
       return false;
     if (!(granted == rhs.granted))
       return false;
+    if (!(disk == rhs.disk))
+      return false;
     return true;
   }
   bool operator != (const PreVoteReply &rhs) const {
@@ -1968,7 +1979,8 @@
               : term(0),
                 success(0),
                 matchIndex(0),
-                round(0) {
+                round(0),
+                disk(0) {
   }
 
   virtual ~AppendReply() noexcept;
@@ -1976,6 +1988,7 @@
   bool success;
   int64_t matchIndex;
   int64_t round;
+  int64_t disk;
 
   void __set_term(const int64_t val);
 
@@ -1985,6 +1998,8 @@
 
   void __set_round(const int64_t val);
 
+  void __set_disk(const int64_t val);
+
   bool operator == (const AppendReply & rhs) const
   {
     if (!(term == rhs.term))
@@ -1995,6 +2010,8 @@
       return false;
     if (!(round == rhs.round))
       return false;
+    if (!(disk == rhs.disk))
+      return false;
     return true;
   }
   bool operator != (const AppendReply &rhs) const {
@@ -2096,13 +2113,15 @@
   InstallSnapshotReply() noexcept
                        : term(0),
                          lastIndex(0),
-                         nextOffset(0) {
+                         nextOffset(0),
+                         complete(0) {
   }
 
   virtual ~InstallSnapshotReply() noexcept;
   int64_t term;
   int64_t lastIndex;
   int64_t nextOffset;
+  bool complete;
 
   void __set_term(const int64_t val);
 
@@ -2110,6 +2129,8 @@
 
   void __set_nextOffset(const int64_t val);
 
+  void __set_complete(const bool val);
+
   bool operator == (const InstallSnapshotReply & rhs) const
   {
     if (!(term == rhs.term))
@@ -2118,6 +2139,8 @@
       return false;
     if (!(nextOffset == rhs.nextOffset))
       return false;
+    if (!(complete == rhs.complete))
+      return false;
     return true;
   }
   bool operator != (const InstallSnapshotReply &rhs) const {
--- a/libs/protocol/gooseberry.thrift
+++ b/libs/protocol/gooseberry.thrift
@@ -209,6 +209,7 @@
 struct Membership {
     1: required set<string> voters
     2: required set<string> learners
+    3: required map<string, i64> disks
 }
 
 struct LogEntry {
@@ -229,6 +230,7 @@
 struct PreVoteReply {
     1: required i64 term
     2: required bool granted
+    3: required i64 disk
 }
 
 struct Vote {
@@ -257,6 +259,7 @@
     2: required bool success
     3: required i64 matchIndex
     4: required i64 round
+    5: required i64 disk
 }
 
 struct InstallSnapshot {
@@ -273,6 +276,7 @@
     1: required i64 term
     2: required i64 lastIndex
     3: required i64 nextOffset
+    4: required bool complete
 }
 
 struct TimeoutNow {
--- a/libs/protocol/src/convert_quorum.cpp
+++ b/libs/protocol/src/convert_quorum.cpp
@@ -21,13 +21,21 @@
     wire::Membership out;
     out.voters = toWireIds(membership.voters);
     out.learners = toWireIds(membership.learners);
+    for (const auto &[voter, disk] : membership.disks) {
+        out.disks[voter.value] = toWire64(disk.value);
+    }
     return out;
 }
 
 Membership fromWire(const wire::Membership &in)
 {
-    return Membership{.voters = fromWireIds<InstanceId>(in.voters),
-                      .learners = fromWireIds<InstanceId>(in.learners)};
+    Membership membership{.voters = fromWireIds<InstanceId>(in.voters),
+                          .learners = fromWireIds<InstanceId>(in.learners),
+                          .disks = {}};
+    for (const auto &[voter, disk] : in.disks) {
+        membership.disks[InstanceId(voter)] = DiskId(fromWire64(disk));
+    }
+    return membership;
 }
 
 wire::LogEntry toWire(const LogEntry &entry)
@@ -69,6 +77,7 @@
     out.__isset.preVoteReply = true;
     out.preVoteReply.term = toWire64(message.term.value);
     out.preVoteReply.granted = message.granted;
+    out.preVoteReply.disk = toWire64(message.disk.value);
 }
 
 void put(wire::QuorumMessage &out, const Vote &message)
@@ -108,6 +117,7 @@
     out.appendReply.success = message.success;
     out.appendReply.matchIndex = toWire64(message.matchIndex.value);
     out.appendReply.round = toWire64(message.round);
+    out.appendReply.disk = toWire64(message.disk.value);
 }
 
 void put(wire::QuorumMessage &out, const InstallSnapshot &message)
@@ -129,6 +139,7 @@
     out.installSnapshotReply.term = toWire64(message.term.value);
     out.installSnapshotReply.lastIndex = toWire64(message.lastIndex.value);
     out.installSnapshotReply.nextOffset = toWire64(message.nextOffset);
+    out.installSnapshotReply.complete = message.complete;
 }
 
 void put(wire::QuorumMessage &out, const TimeoutNow &message)
@@ -173,7 +184,8 @@
     }
     if (in.__isset.preVoteReply) {
         return PreVoteReply{.term = Term(fromWire64(in.preVoteReply.term)),
-                            .granted = in.preVoteReply.granted};
+                            .granted = in.preVoteReply.granted,
+                            .disk = DiskId(fromWire64(in.preVoteReply.disk))};
     }
     if (in.__isset.vote) {
         return Vote{.term = Term(fromWire64(in.vote.term)),
@@ -210,7 +222,8 @@
         return AppendReply{.term = Term(fromWire64(in.appendReply.term)),
                            .success = in.appendReply.success,
                            .matchIndex = LogIndex(fromWire64(in.appendReply.matchIndex)),
-                           .round = fromWire64(in.appendReply.round)};
+                           .round = fromWire64(in.appendReply.round),
+                           .disk = DiskId(fromWire64(in.appendReply.disk))};
     }
     if (set.installSnapshot) {
         return takeSnapshotPart(std::move(in.installSnapshot));
@@ -219,7 +232,8 @@
         return InstallSnapshotReply{.term = Term(fromWire64(in.installSnapshotReply.term)),
                                     .lastIndex
                                     = LogIndex(fromWire64(in.installSnapshotReply.lastIndex)),
-                                    .nextOffset = fromWire64(in.installSnapshotReply.nextOffset)};
+                                    .nextOffset = fromWire64(in.installSnapshotReply.nextOffset),
+                                    .complete = in.installSnapshotReply.complete};
     }
     return takeElection(in);
 }
--- a/libs/protocol/test/message_generators.cpp
+++ b/libs/protocol/test/message_generators.cpp
@@ -89,7 +89,12 @@
 
 Membership membership()
 {
-    return Membership{.voters = idSet<InstanceId>(), .learners = idSet<InstanceId>()};
+    Membership membership{
+        .voters = idSet<InstanceId>(), .learners = idSet<InstanceId>(), .disks = {}};
+    for (const InstanceId &voter : membership.voters) {
+        membership.disks[voter] = id<DiskId>();
+    }
+    return membership;
 }
 
 LogEntry logEntry()
@@ -131,7 +136,7 @@
     case 0:
         return PreVote{.term = id<Term>(), .lastIndex = id<LogIndex>(), .lastTerm = id<Term>()};
     case 1:
-        return PreVoteReply{.term = id<Term>(), .granted = any<bool>()};
+        return PreVoteReply{.term = id<Term>(), .granted = any<bool>(), .disk = id<DiskId>()};
     case 2:
         return Vote{.term = id<Term>(),
                     .lastIndex = id<LogIndex>(),
@@ -264,7 +269,8 @@
         return AppendReply{.term = id<Term>(),
                            .success = any<bool>(),
                            .matchIndex = id<LogIndex>(),
-                           .round = any<std::uint64_t>()};
+                           .round = any<std::uint64_t>(),
+                           .disk = id<DiskId>()};
     case 2:
         return InstallSnapshot{.term = id<Term>(),
                                .lastIndex = id<LogIndex>(),
@@ -274,8 +280,10 @@
                                .chunk = any<std::string>(),
                                .last = any<bool>()};
     case 3:
-        return InstallSnapshotReply{
-            .term = id<Term>(), .lastIndex = id<LogIndex>(), .nextOffset = any<std::uint64_t>()};
+        return InstallSnapshotReply{.term = id<Term>(),
+                                    .lastIndex = id<LogIndex>(),
+                                    .nextOffset = any<std::uint64_t>(),
+                                    .complete = any<bool>()};
     default:
         return election();
     }
