--- a/libs/link/include/link/http_message.h
+++ b/libs/link/include/link/http_message.h
@@ -17,6 +17,8 @@
     std::string body;
     /** The address of the other end. */
     std::string peer;
+
+    bool operator==(const HttpRequest &other) const = default;
 };
 
 struct HttpResponse
@@ -24,6 +26,8 @@
     unsigned status = 200;
     std::map<std::string, std::string> headers;
     std::string body;
+
+    bool operator==(const HttpResponse &other) const = default;
 };
 
 /** Returns the header's value, or an empty string. The name is in lower case. */
--- a/libs/quorum/include/quorum/messages.h
+++ b/libs/quorum/include/quorum/messages.h
@@ -19,11 +19,15 @@
     bool operator==(const Membership &other) const = default;
 };
 
+// GCC 12 reports enumerators of a scoped enum as shadowing types of the same name in other headers.
+#pragma GCC diagnostic push
+#pragma GCC diagnostic ignored "-Wshadow"
 enum class EntryKind {
     Command, ///< A payload for the state machine.
     NoOp, ///< The first entry of a term, which commits all entries of earlier terms.
     Membership, ///< A new membership, in force as soon as it is stored.
 };
+#pragma GCC diagnostic pop
 
 struct LogEntry
 {
