Add links between control instances

Control instances need connections that replace themselves: a connection can stop carrying data in one or both directions without any error. PeerNetwork keeps a link to each configured peer, answers heartbeats on the connection they came on, and replaces a link whose last answered heartbeat is older than 1 s. Instances that are not configured as peers are known by the id in their hello. An instance does not dial while the peer's own link to it works, which halves the heartbeats of a pair. Requests and replies are matched by the network; a request that waits in the queue is taken back at its deadline, so that its error can say not-run.

--- /dev/null
+++ b/libs/link/src/link_connection.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include <chrono>
+#include <deque>
+#include <memory>
+#include <mutex>
+#include <vector>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <link/peer_network.h>
+
+#include "frame.h"
+
+namespace gooseberry {
+
+class Link;
+
+/** What a link reports, on its strand. */
+class LinkOwner
+{
+public:
+    virtual ~LinkOwner() = default;
+
+    /** Returns whether the other end, which sent a valid hello for this cell, is welcome. */
+    virtual bool linkGreeted(const std::shared_ptr<Link> &link, const InstanceId &peer) = 0;
+    /** Called after both hellos were exchanged; send() works from now on. */
+    virtual void linkReady(const std::shared_ptr<Link> &link) = 0;
+    virtual void linkReceived(const std::shared_ptr<Link> &link, Frame frame) = 0;
+    /** Called once, also for a link that never became ready. */
+    virtual void linkClosed(const std::shared_ptr<Link> &link) = 0;
+    virtual void linkWrote(const Link &link, std::uint64_t frames, Bytes bytes) = 0;
+    virtual void linkRead(const Link &link, Bytes bytes) = 0;
+};
+
+/** One connection to one peer. It ends when it fails or falls silent; it is never reused. */
+class Link : public std::enable_shared_from_this<Link>
+{
+public:
+    /** The socket's executor must be a strand. */
+    Link(boost::asio::ip::tcp::socket initialSocket, const PeerNetworkSettings &initialSettings,
+         std::shared_ptr<LinkOwner> initialOwner);
+
+    /** Connects and says hello first. */
+    void connect(const InstanceId &expected, const Address &address);
+    /** Waits for the hello of the other end. */
+    void accept();
+    /** Ends the link, from any thread. */
+    void close();
+
+    /** Queues a frame, from any thread; false when the link is not ready or the queue is full. */
+    bool send(Frame frame);
+
+    /** The other end; empty before its hello. Constant once the link is ready. */
+    const InstanceId &peer() const
+    {
+        return this->peerId;
+    }
+    bool dialed() const
+    {
+        return this->isDialed;
+    }
+    bool ready() const;
+
+private:
+    using ErrorCodeValue = boost::system::error_code;
+
+    void sayHello();
+    void readLength();
+    void readBody(std::uint32_t length);
+    void onFrame(Frame frame);
+    void onHello(const Frame &frame);
+    /** Sends a heartbeat when one is due, and ends the link when the last answer is too old. */
+    void tick();
+    void sendControl(FrameKind kind, std::string payload);
+    void flush();
+    /** Moves waiting frames to the ones being written; returns whether there are any. */
+    bool takeBatch();
+    void onWritten(ErrorCodeValue error);
+    void finish();
+
+    boost::asio::ip::tcp::socket socket;
+    boost::asio::steady_timer timer;
+    const PeerNetworkSettings &settings;
+    std::shared_ptr<LinkOwner> owner;
+
+    // Used only on the strand.
+    InstanceId peerId;
+    bool isDialed = false;
+    bool greeted = false;
+    bool writing = false;
+    bool finished = false;
+    SteadyTime answeredAt;
+    SteadyTime heartbeatDue;
+    std::array<unsigned char, frameLengthSize> lengthBytes{};
+    std::string body;
+    std::vector<std::pair<std::string, std::string>> batch;
+    std::size_t batchBytes = 0;
+    /** The part of queuedBytes that the batch holds. */
+    std::size_t batchQueuedBytes = 0;
+
+    mutable std::mutex mutex;
+    bool isReady = false;
+    std::deque<Frame> controls;
+    std::deque<Frame> queue;
+    std::size_t queuedBytes = 0;
+};
+
+} // namespace gooseberry
--- /dev/null
+++ b/libs/link/src/peer_network_impl.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <atomic>
+#include <condition_variable>
+#include <set>
+
+#include <link/peer_network.h>
+
+#include "peer_record.h"
+
+namespace gooseberry {
+
+/** The records of all peers; each has its own lock, and so has the map that finds them. */
+struct PeerNetwork::Impl : LinkOwner, std::enable_shared_from_this<PeerNetwork::Impl>
+{
+    Impl(Executor &executor, PeerNetworkSettings initialSettings, PeerHandlers initialHandlers);
+
+    Result<Address> listen();
+    void acceptNext();
+    void stop();
+
+    std::shared_ptr<PeerRecord> find(const InstanceId &id) const;
+    std::shared_ptr<PeerRecord> findOrAdd(const InstanceId &id);
+    std::vector<std::pair<InstanceId, std::shared_ptr<PeerRecord>>> allRecords() const;
+
+    bool send(const InstanceId &to, Frame frame);
+    void call(const InstanceId &to, std::string frame, std::chrono::milliseconds deadline,
+              Callback done);
+    /** Starts to connect after the delay unless there is a link or another attempt. */
+    void scheduleDial(const InstanceId &id, const std::shared_ptr<PeerRecord> &record);
+    void dial(const InstanceId &id, const std::shared_ptr<PeerRecord> &record);
+
+    bool linkGreeted(const std::shared_ptr<Link> &link, const InstanceId &peer) override;
+    void linkReady(const std::shared_ptr<Link> &link) override;
+    void linkReceived(const std::shared_ptr<Link> &link, Frame frame) override;
+    void linkClosed(const std::shared_ptr<Link> &link) override;
+    void linkWrote(const Link &link, std::uint64_t frames, Bytes bytes) override;
+    void linkRead(const Link &link, Bytes bytes) override;
+
+    void handleReply(const InstanceId &from, Frame frame);
+    void expireCall(const std::shared_ptr<PeerRecord> &record, std::uint64_t correlation);
+    /** Runs a handler unless the network has stopped; stop() waits for handlers that run. */
+    void deliver(const std::function<void()> &handler);
+    /** Makes stop() wait until a callback that will certainly run has ended. */
+    void beginCallback();
+    void endCallback();
+
+    boost::asio::io_context &context;
+    PeerNetworkSettings settings;
+    PeerHandlers handlers;
+    boost::asio::ip::tcp::acceptor acceptor;
+    std::atomic<std::uint64_t> nextCorrelation;
+    std::atomic<bool> stopping{false};
+
+    mutable std::mutex recordsMutex;
+    std::map<InstanceId, std::shared_ptr<PeerRecord>> records;
+
+    std::mutex strangersMutex;
+    /** Accepted links whose hello has not arrived. */
+    std::set<std::shared_ptr<Link>> strangers;
+
+    std::mutex handlersMutex;
+    std::condition_variable handlersIdle;
+    std::size_t runningHandlers = 0;
+    bool stopped = false;
+};
+
+} // namespace gooseberry
--- /dev/null
+++ b/libs/link/src/peer_record.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <random>
+#include <vector>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "link_connection.h"
+
+namespace gooseberry {
+
+/** A request whose reply is awaited. */
+struct OpenCall
+{
+    PeerNetwork::Callback done;
+    std::shared_ptr<std::atomic<HandOver>> handOver;
+    std::shared_ptr<Link> link;
+    std::shared_ptr<boost::asio::steady_timer> timer;
+};
+
+/** What this instance knows of one other instance, under its own lock. */
+struct PeerRecord
+{
+    std::mutex mutex;
+    /** Set for a configured peer, to which this instance connects. */
+    std::optional<Address> address;
+    /** Links that are ready, the newest last. */
+    std::vector<std::shared_ptr<Link>> links;
+    /** The attempt to connect that is under way. */
+    std::shared_ptr<Link> dialing;
+    bool dialScheduled = false;
+    std::chrono::milliseconds reconnectDelay{0};
+    std::mt19937_64 jitter;
+    std::map<std::uint64_t, OpenCall> calls;
+    PeerTraffic traffic;
+};
+
+/**
+ * Takes back the call's request if it was not handed to a socket, and returns what is certain:
+ * NotRun if it was taken back, otherwise Unknown.
+ */
+inline Outcome withdraw(const OpenCall &call)
+{
+    HandOver expected = HandOver::Queued;
+    return call.handOver->compare_exchange_strong(expected, HandOver::Withdrawn)
+            || expected == HandOver::Withdrawn
+        ? Outcome::NotRun
+        : Outcome::Unknown;
+}
+
+} // namespace gooseberry
--- /dev/null
+++ b/libs/link/test/fake_proxy.cpp
@@ -0,0 +1,106 @@
+#include "fake_proxy.h"
+
+#include <array>
+#include <atomic>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+
+#include "raw_socket.h"
+
+namespace gooseberry {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+using ErrorCodeValue = boost::system::error_code;
+
+struct FakeProxy::Connection
+{
+    explicit Connection(asio::io_context &context)
+        : client(context)
+        , server(context)
+    {
+    }
+
+    tcp::socket client;
+    tcp::socket server;
+    std::array<std::array<char, 16384>, 2> buffers{};
+    std::atomic<Swallow> swallow{Swallow::Nothing};
+};
+
+FakeProxy::FakeProxy(const Address &initialTarget)
+    : target(initialTarget)
+    , acceptor(listenOnLoopback(this->context))
+{
+    this->acceptNext();
+    this->thread = std::thread([this]() { this->context.run(); });
+}
+
+FakeProxy::~FakeProxy()
+{
+    this->context.stop();
+    this->thread.join();
+}
+
+Address FakeProxy::address() const
+{
+    return addressOf(this->acceptor);
+}
+
+void FakeProxy::swallow(Swallow what)
+{
+    const std::lock_guard lock(this->mutex);
+    for (const auto &connection : this->connections) {
+        connection->swallow.store(what);
+    }
+}
+
+void FakeProxy::acceptNext()
+{
+    const auto connection = std::make_shared<Connection>(this->context);
+    this->acceptor.async_accept(connection->client, [this, connection](ErrorCodeValue error) {
+        if (error) {
+            return;
+        }
+        const tcp::endpoint endpoint(asio::ip::make_address(this->target.host), this->target.port);
+        connection->server.connect(endpoint, error);
+        if (error) {
+            connection->client.close(error);
+        } else {
+            {
+                const std::lock_guard lock(this->mutex);
+                this->connections.push_back(connection);
+            }
+            this->pump(connection, true);
+            this->pump(connection, false);
+        }
+        this->acceptNext();
+    });
+}
+
+void FakeProxy::pump(const std::shared_ptr<Connection> &connection, bool toTarget)
+{
+    tcp::socket &from = toTarget ? connection->client : connection->server;
+    tcp::socket &to = toTarget ? connection->server : connection->client;
+    auto &buffer = connection->buffers[toTarget ? 0 : 1];
+    from.async_read_some(
+        asio::buffer(buffer),
+        [this, connection, toTarget, &to, &buffer](ErrorCodeValue error, std::size_t size) {
+            const Swallow what = connection->swallow.load();
+            const bool lost = what == Swallow::Everything
+                || what == (toTarget ? Swallow::ToTarget : Swallow::FromTarget);
+            if (error) {
+                // The end of a connection that swallows is swallowed too.
+                if (!lost) {
+                    to.close(error);
+                }
+                return;
+            }
+            if (!lost) {
+                asio::write(to, asio::buffer(buffer, size), error);
+            }
+            this->pump(connection, toTarget);
+        });
+}
+
+} // namespace gooseberry
--- /dev/null
+++ b/libs/link/test/peer_network_test.cpp
@@ -0,0 +1,454 @@
+#include <link/link.h>
+
+#include <boost/test/unit_test.hpp>
+
+#include <vector>
+
+#include "awaitable.h"
+#include "fake_proxy.h"
+#include "frame.h"
+#include "raw_socket.h"
+
+using namespace gooseberry;
+using std::chrono::milliseconds;
+
+namespace {
+
+const InstanceId alpha("alpha");
+const InstanceId beta("beta");
+/** How long a test waits for what has no bound of its own. */
+constexpr milliseconds patience{10'000};
+/** Half the default silence limit: a link that ends within it did not end for its silence. */
+const milliseconds beforeSilence = PeerNetworkSettings{}.silenceLimit / 2;
+
+struct Seen
+{
+    std::vector<std::pair<InstanceId, std::string>> frames;
+    std::vector<Result<std::string>> replies;
+    std::size_t linkChanges = 0;
+};
+
+PeerNetworkSettings settingsOf(const InstanceId &self, std::map<InstanceId, Address> peers = {},
+                               std::uint16_t port = 0)
+{
+    PeerNetworkSettings settings;
+    settings.self = self;
+    settings.cellName = "test-cell";
+    settings.listen = Address{.host = "127.0.0.1", .port = port};
+    settings.peers = std::move(peers);
+    return settings;
+}
+
+/** An instance with a network, which answers each request with the request in brackets. */
+struct TestInstance
+{
+    explicit TestInstance(PeerNetworkSettings settings)
+        : network(this->executor, std::move(settings), this->handlers())
+    {
+        const Result<Address> started = this->network.start();
+        BOOST_REQUIRE_MESSAGE(ok(started), "start failed");
+        this->address = valueOf(started);
+    }
+    ~TestInstance()
+    {
+        this->network.stop();
+        this->executor.stop();
+    }
+
+    PeerHandlers handlers()
+    {
+        return PeerHandlers{
+            .onFrame =
+                [this](const InstanceId &from, std::string frame) {
+                    this->seen.update([&](Seen &now) { now.frames.emplace_back(from, frame); });
+                },
+            .onRequest =
+                [this](const InstanceId &from, std::string frame,
+                       const PeerHandlers::Reply &reply) {
+                    this->seen.update([&](Seen &now) { now.frames.emplace_back(from, frame); });
+                    if (frame != "no reply") {
+                        reply('[' + frame + ']');
+                    }
+                },
+            .onLink = [this](const InstanceId &,
+                             bool) { this->seen.update([](Seen &now) { ++now.linkChanges; }); }};
+    }
+
+    bool awaitLink(const InstanceId &peer, bool connected, milliseconds limit = patience)
+    {
+        return this->seen.waitFor(
+            limit, [&](const Seen &) { return this->network.connected(peer) == connected; });
+    }
+
+    bool awaitFrame(const std::string &frame, milliseconds limit = patience)
+    {
+        return this->seen.waitFor(limit, [&](const Seen &now) {
+            return std::any_of(now.frames.begin(), now.frames.end(),
+                               [&](const auto &entry) { return entry.second == frame; });
+        });
+    }
+
+    void call(const InstanceId &to, const std::string &frame, milliseconds deadline = patience)
+    {
+        this->network.call(to, frame, deadline, [this](const Result<std::string> &reply) {
+            this->seen.update([&](Seen &now) { now.replies.push_back(reply); });
+        });
+    }
+
+    Result<std::string> awaitReply()
+    {
+        BOOST_REQUIRE(
+            this->seen.waitFor(patience, [](const Seen &now) { return !now.replies.empty(); }));
+        return this->seen.get().replies.front();
+    }
+
+    PeerTraffic trafficWith(const InstanceId &peer)
+    {
+        for (const PeerTraffic &traffic : this->network.traffic()) {
+            if (traffic.peer == peer) {
+                return traffic;
+            }
+        }
+        return {};
+    }
+
+    Executor executor{2};
+    Awaitable<Seen> seen;
+    Address address;
+    PeerNetwork network;
+};
+
+std::string frameBytes(FrameKind kind, const std::string &payload)
+{
+    const Frame frame{.kind = kind, .correlation = 0, .payload = payload, .handOver = {}};
+    return encodeFrameHeader(frame) + payload;
+}
+
+std::string helloBytes(const std::string &cellName, const InstanceId &sender)
+{
+    return frameBytes(FrameKind::Hello, encodeHello({.cellName = cellName, .sender = sender}));
+}
+
+/** Connects as beta and exchanges hellos. */
+void greet(RawSocket &socket, const TestInstance &instance)
+{
+    BOOST_REQUIRE(socket.connect(instance.address));
+    BOOST_REQUIRE(socket.write(helloBytes("test-cell", beta)));
+    const std::string expected = helloBytes("test-cell", alpha);
+    BOOST_REQUIRE(socket.read(expected.size(), patience) == expected);
+}
+
+Outcome outcomeOf(const Result<std::string> &reply)
+{
+    BOOST_REQUIRE_MESSAGE(!ok(reply), "expected an error, got a reply");
+    return errorOf(reply).outcome;
+}
+
+/** Checks that a connection which swallows bytes is replaced in the stated time. */
+void checkReplacement(Swallow what)
+{
+    TestInstance first(settingsOf(alpha));
+    FakeProxy proxy(first.address);
+    const PeerNetworkSettings settings = settingsOf(beta, {{alpha, proxy.address()}});
+    TestInstance second(settings);
+    BOOST_REQUIRE(second.awaitLink(alpha, true));
+    BOOST_REQUIRE(first.awaitLink(beta, true));
+
+    proxy.swallow(what);
+    const SteadyTime began = std::chrono::steady_clock::now();
+    BOOST_REQUIRE(second.seen.waitFor(patience, [&](const Seen &) {
+        return second.trafficWith(alpha).linksOpened == 2 && second.network.connected(alpha);
+    }));
+    const auto took = std::chrono::steady_clock::now() - began;
+    BOOST_TEST_MESSAGE("replaced after " << std::chrono::duration_cast<milliseconds>(took).count()
+                                         << " ms");
+    // Both ends look for silence; the new link follows within the longest reconnect delay.
+    BOOST_TEST(took < settings.silenceLimit + settings.maxReconnectDelay);
+    BOOST_TEST(second.network.send(alpha, "after"));
+    BOOST_TEST(first.awaitFrame("after"));
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(PeerNetworkTest)
+
+// Guards against an instance that is not configured as a peer and can't be answered.
+BOOST_AUTO_TEST_CASE(SendsOverAcceptedAndOverDialedLinks)
+{
+    TestInstance first(settingsOf(alpha));
+    TestInstance second(settingsOf(beta, {{alpha, first.address}}));
+    BOOST_REQUIRE(second.awaitLink(alpha, true));
+    BOOST_REQUIRE(first.awaitLink(beta, true));
+    BOOST_TEST(second.network.send(alpha, "to alpha"));
+    BOOST_TEST(first.network.send(beta, "to beta"));
+    BOOST_TEST(first.awaitFrame("to alpha"));
+    BOOST_TEST(second.awaitFrame("to beta"));
+    BOOST_TEST((first.seen.get().frames.front().first == beta));
+}
+
+// Guards against a large frame, such as a part of a snapshot, that is cut or joined with another.
+BOOST_AUTO_TEST_CASE(CarriesLargeAndEmptyFramesInOrder)
+{
+    TestInstance first(settingsOf(alpha));
+    TestInstance second(settingsOf(beta, {{alpha, first.address}}));
+    BOOST_REQUIRE(second.awaitLink(alpha, true));
+    const std::vector<std::string> frames{std::string(8UL * 1024 * 1024, 'x'), "", "small"};
+    for (const std::string &frame : frames) {
+        BOOST_TEST(second.network.send(alpha, frame));
+    }
+    BOOST_REQUIRE(first.awaitFrame("small"));
+    const Seen seen = first.seen.get();
+    BOOST_REQUIRE(seen.frames.size() == frames.size());
+    for (std::size_t i = 0; i < frames.size(); ++i) {
+        BOOST_TEST((seen.frames[i].second == frames[i]), "frame " << i << " differs");
+    }
+}
+
+// Guards against a peer that stays lost after it was restarted on the same address.
+BOOST_AUTO_TEST_CASE(ReconnectsAfterThePeerRestarts)
+{
+    auto first = std::make_unique<TestInstance>(settingsOf(alpha));
+    const Address address = first->address;
+    const PeerNetworkSettings settings = settingsOf(beta, {{alpha, address}});
+    TestInstance second(settings);
+    BOOST_REQUIRE(second.awaitLink(alpha, true));
+    first.reset();
+    BOOST_REQUIRE(second.awaitLink(alpha, false));
+    BOOST_TEST(!second.network.send(alpha, "nobody there"));
+
+    first = std::make_unique<TestInstance>(settingsOf(alpha, {}, address.port));
+    BOOST_TEST(second.awaitLink(alpha, true, settings.maxReconnectDelay * 2));
+    BOOST_TEST(second.network.send(alpha, "again"));
+    BOOST_TEST(first->awaitFrame("again"));
+}
+
+// Guards against a dead connection that gives no error and is kept for as long as TCP keeps it.
+BOOST_AUTO_TEST_CASE(ReplacesAConnectionThatSwallowsEverything)
+{
+    checkReplacement(Swallow::Everything);
+}
+
+// Guards against a link that is held to be alive because data still comes in.
+BOOST_AUTO_TEST_CASE(ReplacesAConnectionThatLosesWhatItSends)
+{
+    checkReplacement(Swallow::ToTarget);
+}
+
+// Guards against a link that is held to be alive because writing to it still works.
+BOOST_AUTO_TEST_CASE(ReplacesAConnectionThatReceivesNothing)
+{
+    checkReplacement(Swallow::FromTarget);
+}
+
+// Guards against instances of two cells that join each other after a mistake in the settings.
+BOOST_AUTO_TEST_CASE(RefusesHelloOfAnotherCell)
+{
+    TestInstance instance(settingsOf(alpha));
+    RawSocket socket;
+    BOOST_REQUIRE(socket.connect(instance.address));
+    BOOST_REQUIRE(socket.write(helloBytes("other-cell", beta)));
+    BOOST_TEST(socket.closedWithin(patience));
+    BOOST_TEST(socket.rest().empty());
+    BOOST_TEST(!instance.network.connected(beta));
+}
+
+// Guards against frames for one instance that go to another at the same address.
+BOOST_AUTO_TEST_CASE(RefusesAPeerWithAnotherIdThanConfigured)
+{
+    RawSocket socket;
+    boost::asio::ip::tcp::acceptor acceptor = listenOnLoopback(socket.context());
+    TestInstance instance(settingsOf(alpha, {{beta, addressOf(acceptor)}}));
+    BOOST_REQUIRE(socket.accept(acceptor, patience));
+    BOOST_REQUIRE(socket.write(helloBytes("test-cell", InstanceId("gamma"))));
+    BOOST_TEST(socket.closedWithin(patience));
+    BOOST_TEST(!instance.network.connected(beta));
+}
+
+// Guards against an instance that takes itself for a peer.
+BOOST_AUTO_TEST_CASE(RefusesItsOwnHello)
+{
+    TestInstance instance(settingsOf(alpha));
+    RawSocket socket;
+    BOOST_REQUIRE(socket.connect(instance.address));
+    BOOST_REQUIRE(socket.write(helloBytes("test-cell", alpha)));
+    BOOST_TEST(socket.closedWithin(patience));
+}
+
+// Guards against connections without a hello that hold descriptors for ever.
+BOOST_AUTO_TEST_CASE(ClosesAConnectionWithoutHello)
+{
+    const PeerNetworkSettings settings = settingsOf(alpha);
+    TestInstance instance(settings);
+    RawSocket socket;
+    BOOST_REQUIRE(socket.connect(instance.address));
+    BOOST_TEST(socket.closedWithin(settings.silenceLimit * 2));
+}
+
+// Guards against a length field that makes the receiver reserve memory for it.
+BOOST_AUTO_TEST_CASE(ClosesTheLinkOnAnOversizeFrame)
+{
+    TestInstance instance(settingsOf(alpha));
+    RawSocket socket;
+    greet(socket, instance);
+    BOOST_REQUIRE(socket.write(std::string("\x02\x00\x00\x01", 4)));
+    BOOST_TEST(socket.closedWithin(beforeSilence));
+}
+
+// Guards against an unknown sender that is given as much memory as a peer.
+BOOST_AUTO_TEST_CASE(RefusesAnOversizeHello)
+{
+    TestInstance instance(settingsOf(alpha));
+    RawSocket socket;
+    BOOST_REQUIRE(socket.connect(instance.address));
+    BOOST_REQUIRE(socket.write(std::string("\x00\x00\x04\x01", 4)));
+    BOOST_TEST(socket.closedWithin(beforeSilence));
+}
+
+// Guards against bytes of another protocol that are taken for frames.
+BOOST_AUTO_TEST_CASE(ClosesTheLinkOnOtherProtocols)
+{
+    TestInstance instance(settingsOf(alpha));
+    RawSocket socket;
+    BOOST_REQUIRE(socket.connect(instance.address));
+    BOOST_REQUIRE(socket.write("GET / HTTP/1.1\r\n\r\n"));
+    BOOST_TEST(socket.closedWithin(beforeSilence));
+    RawSocket greeted;
+    greet(greeted, instance);
+    BOOST_REQUIRE(greeted.write(std::string("\x00\x00\x00\x01\x63", 5)));
+    BOOST_TEST(greeted.closedWithin(beforeSilence));
+}
+
+// Guards against a peer that doesn't read and makes this instance's queue grow without end.
+BOOST_AUTO_TEST_CASE(RefusesFramesWhenTheQueueIsFull)
+{
+    PeerNetworkSettings settings = settingsOf(alpha);
+    settings.maxQueued = Bytes(4LL * 1024 * 1024);
+    settings.silenceLimit = patience;
+    TestInstance instance(settings);
+    RawSocket socket;
+    greet(socket, instance);
+    BOOST_REQUIRE(instance.awaitLink(beta, true));
+    const std::string frame(1024UL * 1024, 'x');
+    int accepted = 0;
+    // Besides the queue, the system's socket buffers hold some megabytes.
+    constexpr int mostFrames = 64;
+    while (accepted < mostFrames && instance.network.send(beta, frame)) {
+        ++accepted;
+    }
+    BOOST_TEST(accepted >= 4);
+    BOOST_TEST(accepted < mostFrames);
+}
+
+// Guards against a reply that reaches the wrong caller.
+BOOST_AUTO_TEST_CASE(MatchesRepliesToCalls)
+{
+    TestInstance first(settingsOf(alpha));
+    TestInstance second(settingsOf(beta, {{alpha, first.address}}));
+    BOOST_REQUIRE(second.awaitLink(alpha, true));
+    constexpr std::size_t callCount = 200;
+    Awaitable<std::pair<std::size_t, std::size_t>> replies;
+    for (std::size_t i = 0; i < callCount; ++i) {
+        const std::string expected = '[' + std::to_string(i) + ']';
+        second.network.call(alpha, std::to_string(i), patience,
+                            [&replies, expected](const Result<std::string> &reply) {
+                                replies.update([&](auto &count) {
+                                    ++count.first;
+                                    count.second += ok(reply) && valueOf(reply) == expected;
+                                });
+                            });
+    }
+    BOOST_REQUIRE(
+        replies.waitFor(patience, [](const auto &count) { return count.first == callCount; }));
+    BOOST_TEST(replies.get().second == callCount);
+}
+
+// Guards against "unknown" for a request that certainly did not run.
+BOOST_AUTO_TEST_CASE(ReportsNotRunWithoutALink)
+{
+    TestInstance instance(settingsOf(alpha));
+    instance.call(beta, "request");
+    BOOST_TEST((outcomeOf(instance.awaitReply()) == Outcome::NotRun));
+}
+
+// Guards against a false "not-run" when the peer is lost after it has received the request.
+BOOST_AUTO_TEST_CASE(ReportsUnknownWhenTheLinkIsLostAfterTheRequest)
+{
+    auto first = std::make_unique<TestInstance>(settingsOf(alpha));
+    TestInstance second(settingsOf(beta, {{alpha, first->address}}));
+    BOOST_REQUIRE(second.awaitLink(alpha, true));
+    second.call(alpha, "no reply");
+    BOOST_REQUIRE(first->awaitFrame("no reply"));
+    first.reset();
+    BOOST_TEST((outcomeOf(second.awaitReply()) == Outcome::Unknown));
+}
+
+// Guards against a false "not-run" when the connection swallows the request or the reply.
+BOOST_AUTO_TEST_CASE(ReportsUnknownAfterTheDeadline)
+{
+    TestInstance first(settingsOf(alpha));
+    TestInstance second(settingsOf(beta, {{alpha, first.address}}));
+    BOOST_REQUIRE(second.awaitLink(alpha, true));
+    second.call(alpha, "no reply", milliseconds(100));
+    const Result<std::string> reply = second.awaitReply();
+    BOOST_TEST((outcomeOf(reply) == Outcome::Unknown));
+    BOOST_TEST((errorOf(reply).code == ErrorCode::DeadlineExceeded));
+}
+
+// Guards against a request that is reported as not run and is sent later all the same.
+BOOST_AUTO_TEST_CASE(WithdrawsAQueuedRequestAtItsDeadline)
+{
+    PeerNetworkSettings settings = settingsOf(alpha);
+    settings.silenceLimit = patience;
+    TestInstance instance(settings);
+    RawSocket socket;
+    greet(socket, instance);
+    BOOST_REQUIRE(instance.awaitLink(beta, true));
+    const std::string filler(16UL * 1024 * 1024, 'x');
+    BOOST_REQUIRE(instance.network.send(beta, filler));
+    BOOST_REQUIRE(instance.network.send(beta, filler));
+    instance.call(beta, "late request", milliseconds(100));
+    BOOST_TEST((outcomeOf(instance.awaitReply()) == Outcome::NotRun));
+
+    BOOST_REQUIRE(instance.network.send(beta, "last frame"));
+    const std::string bytes = socket.readUntil("last frame", patience);
+    BOOST_TEST(bytes.size() > 2 * filler.size());
+    BOOST_TEST((bytes.find("late request") == std::string::npos));
+}
+
+// Guards against callers that wait for ever when their instance stops.
+BOOST_AUTO_TEST_CASE(FailsOpenCallsOnStop)
+{
+    TestInstance first(settingsOf(alpha));
+    TestInstance second(settingsOf(beta, {{alpha, first.address}}));
+    BOOST_REQUIRE(second.awaitLink(alpha, true));
+    second.call(alpha, "no reply");
+    BOOST_REQUIRE(first.awaitFrame("no reply"));
+    second.network.stop();
+    const Seen seen = second.seen.get();
+    BOOST_REQUIRE(seen.replies.size() == 1U);
+    BOOST_TEST((outcomeOf(seen.replies.front()) == Outcome::Unknown));
+    BOOST_TEST(!second.network.send(alpha, "stopped"));
+}
+
+// Guards against figures for control cost that leave out part of the traffic.
+BOOST_AUTO_TEST_CASE(CountsWhatWasSentAndReceived)
+{
+    TestInstance first(settingsOf(alpha));
+    TestInstance second(settingsOf(beta, {{alpha, first.address}}));
+    BOOST_REQUIRE(second.awaitLink(alpha, true));
+    const std::string frame(100'000, 'x');
+    second.call(alpha, frame);
+    BOOST_REQUIRE(ok(second.awaitReply()));
+    // A frame counts once its write has ended, which is certain when a later one was answered.
+    second.call(alpha, "second");
+    BOOST_REQUIRE(
+        second.seen.waitFor(patience, [](const Seen &now) { return now.replies.size() == 2; }));
+    const PeerTraffic traffic = second.trafficWith(alpha);
+    BOOST_TEST(traffic.connected);
+    BOOST_TEST(traffic.linksOpened == 1U);
+    BOOST_TEST(traffic.framesSent >= 2U);
+    BOOST_TEST(traffic.framesReceived >= 1U);
+    BOOST_TEST(traffic.bytesSent.value >= 100'000);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/libs/link/test/raw_socket.cpp
@@ -0,0 +1,112 @@
+#include "raw_socket.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+
+namespace gooseberry {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+using ErrorCodeValue = boost::system::error_code;
+
+RawSocket::RawSocket()
+    : socket(this->ioContext)
+{
+}
+
+bool RawSocket::connect(const Address &address)
+{
+    ErrorCodeValue error;
+    this->socket.connect(tcp::endpoint(asio::ip::make_address(address.host), address.port), error);
+    return !error;
+}
+
+bool RawSocket::accept(tcp::acceptor &acceptor, std::chrono::milliseconds limit)
+{
+    bool accepted = false;
+    acceptor.async_accept(this->socket, [&accepted](ErrorCodeValue error) { accepted = !error; });
+    this->ioContext.restart();
+    this->ioContext.run_for(limit);
+    if (!accepted) {
+        acceptor.cancel();
+        this->ioContext.restart();
+        this->ioContext.run();
+    }
+    return accepted;
+}
+
+void RawSocket::run(std::chrono::milliseconds limit)
+{
+    this->ioContext.restart();
+    this->ioContext.run_for(limit);
+    if (!this->ioContext.stopped()) {
+        this->socket.cancel();
+        this->ioContext.restart();
+        this->ioContext.run();
+    }
+}
+
+bool RawSocket::write(const std::string &bytes)
+{
+    ErrorCodeValue error;
+    asio::write(this->socket, asio::buffer(bytes), error);
+    return !error;
+}
+
+std::string RawSocket::read(std::size_t size, std::chrono::milliseconds limit)
+{
+    std::string bytes(size, '\0');
+    std::size_t got = 0;
+    asio::async_read(this->socket, asio::buffer(bytes),
+                     [&got](ErrorCodeValue, std::size_t count) { got = count; });
+    this->run(limit);
+    bytes.resize(got);
+    return bytes;
+}
+
+std::string RawSocket::readUntil(const std::string &end, std::chrono::milliseconds limit)
+{
+    std::string bytes;
+    asio::async_read_until(this->socket, asio::dynamic_buffer(bytes), end,
+                           [](ErrorCodeValue, std::size_t) {});
+    this->run(limit);
+    return bytes;
+}
+
+bool RawSocket::closedWithin(std::chrono::milliseconds limit)
+{
+    bool ended = false;
+    asio::async_read(this->socket, asio::dynamic_buffer(this->remaining),
+                     [&ended](ErrorCodeValue error, std::size_t) {
+                         ended = error && error != asio::error::operation_aborted;
+                     });
+    this->run(limit);
+    return ended;
+}
+
+void RawSocket::close()
+{
+    ErrorCodeValue ignored;
+    this->socket.close(ignored);
+}
+
+void RawSocket::reset()
+{
+    ErrorCodeValue ignored;
+    this->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    this->socket.close(ignored);
+}
+
+tcp::acceptor listenOnLoopback(asio::io_context &context)
+{
+    return tcp::acceptor(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+}
+
+Address addressOf(const tcp::acceptor &acceptor)
+{
+    return Address{.host = "127.0.0.1", .port = acceptor.local_endpoint().port()};
+}
+
+} // namespace gooseberry
