Form one cell of several control instances

Control instances now share one replicated log: commands are encoded, committed by the voters and applied in one order; the instance that leads decides, and all others pass requests on to it over links. Instances without a disk learn from the voters who leads and refuse with not-run after 2 s without news. A planned stop drains, then hands leadership over. The in-memory log of a lone instance is gone: a replica without a data folder does the same.

--- a/libs/cell/include/cell/command.h
+++ b/libs/cell/include/cell/command.h
@@ -135,9 +135,19 @@
 using Command = std::variant<ApplyConfig, GrantKey, WithdrawKey, SetDomain, Submit, Start, Finish,
                              Release, Cancel, Announce, Depart, Expire>;
 
+/** Tells the proposer which of its commands was applied; unique across instances and restarts. */
+struct ProposalId
+{
+    std::uint64_t origin = 0;
+    std::uint64_t number = 0;
+
+    bool operator==(const ProposalId &other) const = default;
+};
+
 /** A command with the time that the leader gave it. */
 struct StampedCommand
 {
+    ProposalId proposal;
     CellTime at;
     Command command;
 
--- /dev/null
+++ b/libs/control/include/control/cell_network.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <array>
+#include <atomic>
+#include <chrono>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <vector>
+
+#include <control/settings.h>
+#include <link/link.h>
+#include <protocol/protocol.h>
+#include <quorum/quorum.h>
+
+namespace gooseberry {
+
+/**
+ * What the control instances of a cell say to each other: messages of the replicated log, callers'
+ * requests on their way to the leader, and who leads, for instances that do not vote.
+ */
+class CellNetwork : public ReplicaTransport
+{
+public:
+    /** Handles a forwarded request on the leader. */
+    using Serve = std::function<void(const HttpRequest &, const HttpServer::Respond &)>;
+
+    CellNetwork(Executor &initialExecutor, const Clock &initialClock,
+                const Settings &initialSettings, Serve initialServe);
+
+    /** Sets the replica of this instance, if it has one. Must be called before start(). */
+    void connect(Replica *initialReplica);
+    Result<Done> start();
+    void stop();
+
+    void send(const InstanceId &to, QuorumMessage message) override;
+
+    /**
+     * Passes a request on to the leader. The reply is an error with outcome NotRun when no leader
+     * is known or nothing was sent, and Unknown when no reply came in time.
+     */
+    void forward(const HttpRequest &request, const HttpServer::Respond &respond);
+
+    /** Returns the leader, if this instance has heard of it within the last 2 s. */
+    std::optional<InstanceId> leader() const;
+
+    /** Tells instances that do not vote who leads, and fails forwards that are overdue. */
+    void step();
+
+private:
+    struct PendingForward
+    {
+        InstanceId leader;
+        SteadyTime deadline;
+        HttpServer::Respond respond;
+    };
+    struct Shard
+    {
+        std::mutex mutex;
+        std::map<ForwardId, PendingForward> forwards;
+    };
+    struct Hint
+    {
+        std::optional<InstanceId> leader;
+        Term term;
+        SteadyTime heardAt;
+    };
+    static constexpr std::size_t shardCount = 8;
+
+    void onFrame(const InstanceId &from, const std::string &frame);
+    void onMessage(const InstanceId &from, QuorumMessage &&message);
+    void onMessage(const InstanceId &from, Forward &&message);
+    void onMessage(const InstanceId &from, ForwardReply &&message);
+    void onMessage(const InstanceId &from, LeaderHint &&message);
+    void sendHints(SteadyTime now);
+    void failOverdue(SteadyTime now);
+    Shard &shardOf(const ForwardId &id);
+    std::optional<PendingForward> takeForward(const ForwardId &id);
+
+    const Clock &clock;
+    std::vector<InstanceId> nonVoters;
+    Serve serve;
+    Replica *replica = nullptr;
+    PeerNetwork network;
+    std::atomic<std::uint64_t> lastForward{0};
+    std::array<Shard, shardCount> shards;
+
+    mutable std::mutex hintMutex;
+    Hint hint;
+    SteadyTime nextHints;
+};
+
+} // namespace gooseberry
--- a/libs/control/include/control/control_instance.h
+++ b/libs/control/include/control/control_instance.h
@@ -6,15 +6,20 @@
 #include <thread>
 
 #include <cell/cell.h>
+#include <control/cell_network.h>
 #include <control/instance_metrics.h>
-#include <control/local_log.h>
+#include <control/replicated_log.h>
 #include <control/settings.h>
 #include <gateway/gateway.h>
 #include <link/link.h>
+#include <quorum/quorum.h>
 
 namespace gooseberry {
 
-/** A running control instance. */
+/**
+ * A running control instance. It serves callers, workers and operators; if it leads, it decides,
+ * otherwise it passes their requests on to the instance that does.
+ */
 class ControlInstance
 {
 public:
@@ -24,13 +29,18 @@
     ControlInstance(const ControlInstance &) = delete;
     ControlInstance &operator=(const ControlInstance &) = delete;
 
-    /** Starts to serve and returns the address it listens on. */
+    /** Recovers what is stored, starts to serve and returns the address it listens on. */
     Result<Address> start();
-    /** Stops gracefully: takes no new work and lets every request in flight finish. */
+    /**
+     * Stops as planned: takes no new requests, lets those in flight finish and hands leadership
+     * over. Returns whether no request was cut.
+     */
     bool stop();
 
 private:
     void handle(const HttpRequest &request, const HttpServer::Respond &respond);
+    HttpResponse readiness();
+    void handOver();
     void runSteps();
     void wakeStepper();
     InstanceReadings readings();
@@ -42,9 +52,12 @@
     Executor executor;
     HttpClient client;
     HttpWorkerPort workerPort;
-    LocalLog log;
+    ReplicatedLog log;
     Coordinator coordinator;
     HttpGateway gateway;
+    CellNetwork network;
+    /** Empty on an instance that does not vote. */
+    std::unique_ptr<Replica> replica;
     HttpServer server;
 
     std::mutex mutex;
--- a/libs/control/src/control_instance.cpp
+++ b/libs/control/src/control_instance.cpp
@@ -1,6 +1,8 @@
 #include <control/control_instance.h>
 
 #include <cmath>
+#include <future>
+#include <random>
 
 #include <spdlog/spdlog.h>
 
@@ -9,6 +11,35 @@
 namespace {
 
 constexpr std::chrono::milliseconds startDeadline{2000};
+/** A hand-over that takes longer is given up; the others then elect a leader by themselves. */
+constexpr std::chrono::seconds handOverPatience{2};
+
+std::uint64_t randomNumber()
+{
+    std::random_device device;
+    return std::uniform_int_distribution<std::uint64_t>{1}(device);
+}
+
+ReplicaSettings replicaSettings(const Settings &settings)
+{
+    ReplicaSettings replica;
+    replica.self = settings.id;
+    replica.dataFolder = settings.dataFolder;
+    replica.bootstrap = settings.bootstrap || settings.peers.empty();
+    replica.initialMembership.voters.insert(settings.id);
+    for (const PeerSettings &peer : settings.peers) {
+        if (peer.voter) {
+            replica.initialMembership.voters.insert(peer.id);
+        }
+    }
+    replica.seed = randomNumber();
+    return replica;
+}
+
+bool keepsLog(const Settings &settings)
+{
+    return settings.voter || settings.peers.empty();
+}
 
 /** Returns the sum over teams of |got - entitled|, entitled being the team's part of what is used.
  */
@@ -36,16 +67,26 @@
     , executor(settings.threads)
     , client(executor)
     , workerPort(client, startDeadline)
-    , log(state, clock)
+    , log(state, clock, randomNumber())
     , coordinator(state, log, workerPort, clock, metrics, CoordinatorSettings{})
     , gateway(coordinator, state,
               GatewaySettings{.operatorToken = settings.operatorToken,
                               .workerToken = settings.workerToken})
+    , network(executor, clock, settings,
+              [this](const HttpRequest &request, const HttpServer::Respond &respond) {
+                  this->gateway.handle(request, respond);
+              })
     , server(executor, HttpServerLimits{},
              [this](const HttpRequest &request, const HttpServer::Respond &respond) {
                  this->handle(request, respond);
              })
 {
+    if (keepsLog(this->settings)) {
+        this->replica = std::make_unique<Replica>(replicaSettings(this->settings), this->log,
+                                                  this->network, this->clock);
+    }
+    this->log.connect(this->replica.get(), this->coordinator);
+    this->network.connect(this->replica.get());
 }
 
 ControlInstance::~ControlInstance()
@@ -55,9 +96,20 @@
 
 Result<Address> ControlInstance::start()
 {
-    spdlog::warn("event=no-data-folder instance={} message=\"nothing survives this process\"",
-                 this->settings.id.value);
-    this->coordinator.beginTerm(this->log.term());
+    if (this->replica && !this->settings.dataFolder) {
+        spdlog::warn("event=no-data-folder instance={} message=\"nothing survives this process\"",
+                     this->settings.id.value);
+    }
+    if (this->replica) {
+        if (Status started = this->replica->start(); !ok(started)) {
+            return errorOf(started);
+        }
+    }
+    if (!this->settings.peers.empty()) {
+        if (Status started = this->network.start(); !ok(started)) {
+            return errorOf(started);
+        }
+    }
     Result<Address> address = this->server.listen(this->settings.listen);
     if (ok(address)) {
         this->stepper = std::thread([this]() { this->runSteps(); });
@@ -76,6 +128,7 @@
     }
     // Requests in flight need steps to finish, so stepping ends only after the server has drained.
     const bool drained = this->server.drain(this->settings.drainPatience);
+    this->handOver();
     {
         const std::lock_guard lock(this->mutex);
         this->stepsEnded = true;
@@ -84,26 +137,59 @@
     if (this->stepper.joinable()) {
         this->stepper.join();
     }
+    this->network.stop();
+    if (this->replica) {
+        this->replica->stop();
+    }
     this->executor.stop();
     return drained;
 }
 
-void ControlInstance::handle(const HttpRequest &request, const HttpServer::Respond &respond)
+void ControlInstance::handOver()
 {
-    if (request.target == "/healthz" || request.target == "/readyz") {
-        const std::lock_guard lock(this->mutex);
-        const bool ready = request.target == "/healthz" || !this->stopping;
-        respond(jsonResponse(ready ? 200 : 503, ready ? "{}" : R"({"reason":"stopping"})"));
+    if (!this->replica || !this->replica->holdsLease() || this->settings.peers.empty()) {
         return;
     }
-    if (request.target == "/metrics") {
+    // Shared, since the callback may come after this function has stopped waiting.
+    auto handedOver = std::make_shared<std::promise<Status>>();
+    std::future<Status> result = handedOver->get_future();
+    this->replica->transferLeadership(
+        [handedOver](const Status &status) { handedOver->set_value(status); });
+    const bool known = result.wait_for(handOverPatience) == std::future_status::ready;
+    spdlog::info("event=leadership-handed-over instance={} done={}", this->settings.id.value,
+                 known && ok(result.get()));
+}
+
+void ControlInstance::handle(const HttpRequest &request, const HttpServer::Respond &respond)
+{
+    if (request.target == "/healthz") {
+        respond(jsonResponse(200, "{}"));
+    } else if (request.target == "/readyz") {
+        respond(this->readiness());
+    } else if (request.target == "/metrics") {
         HttpResponse response;
         response.headers["content-type"] = "text/plain; version=0.0.4";
         response.body = this->metrics.serialize(this->readings());
         respond(std::move(response));
-        return;
+    } else if (this->log.holdsLease()) {
+        this->gateway.handle(request, respond);
+    } else {
+        this->network.forward(request, respond);
+    }
+}
+
+HttpResponse ControlInstance::readiness()
+{
+    {
+        const std::lock_guard lock(this->mutex);
+        if (this->stopping) {
+            return jsonResponse(503, R"({"reason":"stopping"})");
+        }
+    }
+    if (!this->log.holdsLease() && !this->network.leader()) {
+        return jsonResponse(503, R"({"reason":"no-leader"})");
     }
-    this->gateway.handle(request, respond);
+    return jsonResponse(200, "{}");
 }
 
 void ControlInstance::wakeStepper()
@@ -140,6 +226,7 @@
         this->stepWanted = false;
         lock.unlock();
         this->coordinator.step();
+        this->network.step();
         lock.lock();
     }
 }
--- a/libs/policy/src/preemption.cpp
+++ b/libs/policy/src/preemption.cpp
@@ -78,7 +78,7 @@
 }
 
 std::optional<VictimPlan> planFor(const Instance &instance, std::vector<const RunningTask *> tasks,
-                            const Resources &wanted, const Progress &progress)
+                                  const Resources &wanted, const Progress &progress)
 {
     std::sort(tasks.begin(), tasks.end(), [&progress](const RunningTask *a, const RunningTask *b) {
         const auto rank = [&progress](const RunningTask *task) {
--- a/libs/protocol/gen-cpp/gooseberry_types.cpp
+++ b/libs/protocol/gen-cpp/gooseberry_types.cpp
@@ -3174,6 +3174,14 @@
   this->command = val;
 }
 
+void StampedCommand::__set_origin(const int64_t val) {
+  this->origin = val;
+}
+
+void StampedCommand::__set_number(const int64_t val) {
+  this->number = val;
+}
+
 uint32_t StampedCommand::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
@@ -3188,6 +3196,8 @@
 
   bool isset_at = false;
   bool isset_command = false;
+  bool isset_origin = false;
+  bool isset_number = false;
 
   while (true)
   {
@@ -3213,6 +3223,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->origin);
+          isset_origin = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          isset_number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3226,6 +3252,10 @@
     throw TProtocolException(TProtocolException::INVALID_DATA);
   if (!isset_command)
     throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_origin)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_number)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
@@ -3242,6 +3272,14 @@
   xfer += this->command.write(oprot);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("origin", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->origin);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3251,24 +3289,34 @@
   using ::std::swap;
   swap(a.at, b.at);
   swap(a.command, b.command);
+  swap(a.origin, b.origin);
+  swap(a.number, b.number);
 }
 
 StampedCommand::StampedCommand(const StampedCommand& other111) {
   at = other111.at;
   command = other111.command;
+  origin = other111.origin;
+  number = other111.number;
 }
 StampedCommand::StampedCommand(StampedCommand&& other112) noexcept {
   at = other112.at;
   command = std::move(other112.command);
+  origin = other112.origin;
+  number = other112.number;
 }
 StampedCommand& StampedCommand::operator=(const StampedCommand& other113) {
   at = other113.at;
   command = other113.command;
+  origin = other113.origin;
+  number = other113.number;
   return *this;
 }
 StampedCommand& StampedCommand::operator=(StampedCommand&& other114) noexcept {
   at = other114.at;
   command = std::move(other114.command);
+  origin = other114.origin;
+  number = other114.number;
   return *this;
 }
 
--- a/libs/protocol/gen-cpp/gooseberry_types.h
+++ b/libs/protocol/gen-cpp/gooseberry_types.h
@@ -1257,23 +1257,35 @@
   StampedCommand& operator=(const StampedCommand&);
   StampedCommand& operator=(StampedCommand&&) noexcept;
   StampedCommand() noexcept
-                 : at(0) {
+                 : at(0),
+                   origin(0),
+                   number(0) {
   }
 
   virtual ~StampedCommand() noexcept;
   int64_t at;
   Command command;
+  int64_t origin;
+  int64_t number;
 
   void __set_at(const int64_t val);
 
   void __set_command(const Command& val);
 
+  void __set_origin(const int64_t val);
+
+  void __set_number(const int64_t val);
+
   bool operator == (const StampedCommand & rhs) const
   {
     if (!(at == rhs.at))
       return false;
     if (!(command == rhs.command))
       return false;
+    if (!(origin == rhs.origin))
+      return false;
+    if (!(number == rhs.number))
+      return false;
     return true;
   }
   bool operator != (const StampedCommand &rhs) const {
--- a/libs/protocol/gooseberry.thrift
+++ b/libs/protocol/gooseberry.thrift
@@ -163,6 +163,8 @@
 struct StampedCommand {
     1: required i64 at
     2: required Command command
+    3: required i64 origin
+    4: required i64 number
 }
 
 struct ConfigImage {
--- a/libs/protocol/src/convert_cell.cpp
+++ b/libs/protocol/src/convert_cell.cpp
@@ -182,6 +182,8 @@
 wire::StampedCommand toWire(const StampedCommand &stamped)
 {
     wire::StampedCommand out;
+    out.origin = toWire64(stamped.proposal.origin);
+    out.number = toWire64(stamped.proposal.number);
     out.at = toWireTime(stamped.at);
     std::visit([&out](const auto &command) { put(out.command, command); }, stamped.command);
     return out;
@@ -194,7 +196,10 @@
                  {set.applyConfig, set.grantKey, set.withdrawKey, set.setDomain, set.submit,
                   set.start, set.finish, set.releaseAttempt, set.cancelJob, set.announce,
                   set.depart, set.expireEndedBefore});
-    return StampedCommand{.at = fromWireTime(in.at), .command = takeCommand(std::move(in.command))};
+    return StampedCommand{.proposal
+                          = {.origin = fromWire64(in.origin), .number = fromWire64(in.number)},
+                          .at = fromWireTime(in.at),
+                          .command = takeCommand(std::move(in.command))};
 }
 
 namespace {
--- a/libs/protocol/test/codec_test.cpp
+++ b/libs/protocol/test/codec_test.cpp
@@ -78,7 +78,10 @@
 {
     switch (*rc::gen::inRange(0, 4)) {
     case 0:
-        return encode(StampedCommand{.at = generate::time(), .command = generate::command()});
+        return encode(StampedCommand{
+            .proposal = {.origin = 1, .number = *rc::gen::arbitrary<std::uint64_t>()},
+            .at = generate::time(),
+            .command = generate::command()});
     case 1:
         return encode(generate::cellImage());
     case 2:
@@ -123,7 +126,10 @@
 BOOST_AUTO_TEST_CASE(DecodesEveryCommandAsItWasEncoded)
 {
     BOOST_TEST(rc::check("command", []() {
-        const StampedCommand sent{.at = generate::time(), .command = generate::command()};
+        const StampedCommand sent{.proposal
+                                  = {.origin = *rc::gen::arbitrary<std::uint64_t>(), .number = 2},
+                                  .at = generate::time(),
+                                  .command = generate::command()};
         const Result<StampedCommand> got = decodeCommand(encode(sent));
         RC_ASSERT(ok(got));
         RC_ASSERT((valueOf(got) == sent));
@@ -186,8 +192,11 @@
 BOOST_AUTO_TEST_CASE(CarriesTheLargestNumbers)
 {
     constexpr auto largest = std::numeric_limits<std::uint64_t>::max();
-    const QuorumMessage sent = AppendReply{
-        .term = Term(largest), .success = true, .matchIndex = LogIndex(largest), .round = largest};
+    const QuorumMessage sent = AppendReply{.term = Term(largest),
+                                           .success = true,
+                                           .matchIndex = LogIndex(largest),
+                                           .round = largest,
+                                           .disk = DiskId(largest)};
     const Result<QuorumMessage> got = decodeQuorumMessage(encode(sent));
     BOOST_REQUIRE(ok(got));
     BOOST_TEST((valueOf(got) == sent));
