--- a/libs/protocol/test/codec_test.cpp
+++ b/libs/protocol/test/codec_test.cpp
@@ -215,7 +215,7 @@
 // Guards against bytes after a message being ignored, which hides a framing fault.
 BOOST_AUTO_TEST_CASE(RefusesTrailingBytes)
 {
-    const StampedCommand sent{.at = CellTime{}, .command = Cancel{.job = JobId(7)}};
+    const StampedCommand sent{.proposal = {}, .at = CellTime{}, .command = Cancel{.job = JobId(7)}};
     BOOST_TEST(isCorrupt(decodeCommand(encode(sent) + '\0')));
     BOOST_TEST(isCorrupt(decodeCommand(encode(sent) + encode(sent))));
 }
@@ -235,6 +235,7 @@
 BOOST_AUTO_TEST_CASE(RefusesUnknownEnumValue)
 {
     std::string bytes = encode(StampedCommand{
+        .proposal = {},
         .at = CellTime{},
         .command = Finish{.placement = {}, .result = AttemptResult::Stopped, .answer = {}}});
     // The result is field 2 of type i32 (0x15) with zigzag value 3 (0x06); 0x7e is 63.
@@ -281,9 +282,11 @@
         .instance = InstanceId("catania-lido-worker-1400")};
     const CellTime at(std::chrono::hours(24 * 365));
     const std::string start = encode(StampedCommand{
+        .proposal = {},
         .at = at,
         .command = Start{.job = JobId(16'000'000), .allOrNone = false, .placements = {placement}}});
     const std::string finish = encode(StampedCommand{
+        .proposal = {},
         .at = at,
         .command
         = Finish{.placement = placement, .result = AttemptResult::Succeeded, .answer = {}}});
