Add gooseberryctl, samples of both deployments and the demo

Operators had no way to use the interface but raw HTTP. libs/operator holds the command line as a library: it reads flags and environment, tries one server after another on refusals that another instance may not repeat, resends after an unknown outcome, and reports documented exit codes. apply sends each changed file as the next version, names the winner on a conflict, and creates the secrets of declared keys locally. samples/ declares sicilia-est and valle-central with one template and six customers each; scripts/demo runs both on loopback addresses and checks the workers' records.

--- a/libs/contract/include/contract/declaration.h
+++ b/libs/contract/include/contract/declaration.h
@@ -15,4 +15,7 @@
 Result<CellConfig> applyDeclaration(const CellConfig &current, const std::string &text,
                                     const std::string &fileName);
 
+/** Reads CellConfig::source back to the configuration that it stands for; empty text is valid. */
+Result<CellConfig> loadDeclarations(const std::string &source);
+
 } // namespace gooseberry
--- a/libs/contract/src/declaration.cpp
+++ b/libs/contract/src/declaration.cpp
@@ -225,10 +225,12 @@
     return config;
 }
 
-Result<Sections> readInForce(const CellConfig &current)
+const std::string inForceName = "declarations in force";
+
+Result<Sections> readInForce(const std::string &source)
 {
-    const std::string name = "declarations in force";
-    const Result<DocumentNode> base = parseDocument(current.source, name, mergedLimits);
+    const std::string &name = inForceName;
+    const Result<DocumentNode> base = parseDocument(source, name, mergedLimits);
     if (!ok(base)) {
         return errorOf(base);
     }
@@ -250,7 +252,7 @@
     if (!ok(root)) {
         return errorOf(root);
     }
-    Result<Sections> base = readInForce(current);
+    Result<Sections> base = readInForce(current.source);
     if (!ok(base)) {
         return errorOf(base);
     }
@@ -265,4 +267,14 @@
     return readMerged(valueOf(base), fileName, problems);
 }
 
+Result<CellConfig> loadDeclarations(const std::string &source)
+{
+    const Result<Sections> sections = readInForce(source);
+    if (!ok(sections)) {
+        return errorOf(sections);
+    }
+    Problems problems;
+    return readMerged(valueOf(sections), inForceName, problems);
+}
+
 } // namespace gooseberry
--- a/libs/contract/src/document.cpp
+++ b/libs/contract/src/document.cpp
@@ -87,8 +87,8 @@
     Position at(const YAML::Mark &mark) const
     {
         return Position{.file = this->file,
-                        .line = static_cast<std::size_t>(mark.line + 1),
-                        .column = static_cast<std::size_t>(mark.column + 1)};
+                        .line = static_cast<std::size_t>(mark.line) + 1,
+                        .column = static_cast<std::size_t>(mark.column) + 1};
     }
 
     void enter(DocumentNode *node)
@@ -232,8 +232,8 @@
     } catch (const YAML::Exception &error) {
         Position position = start;
         if (!error.mark.is_null()) {
-            position.line = static_cast<std::size_t>(error.mark.line + 1);
-            position.column = static_cast<std::size_t>(error.mark.column + 1);
+            position.line = static_cast<std::size_t>(error.mark.line) + 1;
+            position.column = static_cast<std::size_t>(error.mark.column) + 1;
         }
         return refuse(Refusal{position, "not valid YAML: " + error.msg});
     }
--- a/libs/contract/test/declaration_test.cpp
+++ b/libs/contract/test/declaration_test.cpp
@@ -96,6 +96,8 @@
     const CellConfig again = applied({}, config.source);
     BOOST_TEST(again.source == config.source);
     BOOST_TEST((again == config));
+    BOOST_TEST((valueOf(loadDeclarations(config.source)) == config));
+    BOOST_TEST((valueOf(loadDeclarations("")) == CellConfig{}));
 }
 
 // Guards against a one-customer file that drops the other customers.
--- a/libs/gateway/include/gateway/json_codec.h
+++ b/libs/gateway/include/gateway/json_codec.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <map>
 #include <string>
 #include <vector>
 
@@ -15,6 +16,14 @@
     WorkerReport report;
 };
 
+/** What the cell as a whole holds, for plans. */
+struct CellOverview
+{
+    std::map<QueueId, QueueLoad> queues;
+    Resources capacity;
+    std::size_t workers = 0;
+};
+
 // Readers fail with InvalidArgument and name the field, the value and what is allowed. They refuse
 // unknown fields, so that a misspelt one is not ignored.
 Result<JobSpec> readJobSpec(const std::string &json);
@@ -29,7 +38,8 @@
 std::string writeJob(const JobRecord &job);
 std::string writeLease(const WorkerLease &lease);
 std::string writeStart(const StartMessage &message);
-std::string writeTop(const std::vector<TeamOverview> &teams);
-std::string writeConfig(ConfigVersion version, const CellConfig &config);
+std::string writeTop(const std::vector<TeamOverview> &teams, const CellOverview &cell);
+/** Writes version, declarations, ids of keys and domains that are out, but no salt and no hash. */
+std::string writeConfig(const ConfigImage &image);
 
 } // namespace gooseberry
--- a/libs/gateway/src/http_gateway.cpp
+++ b/libs/gateway/src/http_gateway.cpp
@@ -91,6 +91,21 @@
     };
 }
 
+CellOverview overviewOf(CellState &state)
+{
+    CellOverview overview;
+    overview.capacity = state.fleet().totalCapacity();
+    overview.workers = state.fleet().snapshot().size();
+    for (const JobRecord &job : state.jobs().all()) {
+        QueueLoad &load = overview.queues[job.spec->queue];
+        for (const TaskRecord &task : job.tasks) {
+            load.waiting += task.state == TaskState::Pending ? 1 : 0;
+            load.running += task.state == TaskState::Running ? 1 : 0;
+        }
+    }
+    return overview;
+}
+
 Coordinator::Reply<Done> respondDone(const HttpServer::Respond &respond)
 {
     return respondWith<Done>(respond, [](const Done &) { return jsonResponse(statusOk, "{}"); });
@@ -196,7 +211,7 @@
     } else if (area == "keys") {
         this->handleKeys(request, route, respond);
     } else if (area == "top" && request.method == "GET") {
-        respond(jsonResponse(statusOk, writeTop(this->coordinator.top())));
+        respond(jsonResponse(statusOk, writeTop(this->coordinator.top(), overviewOf(this->state))));
     } else {
         respond(errorResponse(notFound("no route " + request.method + ' ' + request.target)));
     }
@@ -336,9 +351,7 @@
                                const HttpServer::Respond &respond)
 {
     if (request.method == "GET") {
-        respond(jsonResponse(
-            statusOk,
-            writeConfig(this->state.config().version(), *this->state.config().current())));
+        respond(jsonResponse(statusOk, writeConfig(this->state.config().image())));
         return;
     }
     const auto asked = route.query.find("version");
--- a/libs/gateway/src/json_codec.cpp
+++ b/libs/gateway/src/json_codec.cpp
@@ -365,7 +365,7 @@
                                         {"payload", spec.payload}});
 }
 
-std::string writeTop(const std::vector<TeamOverview> &teams)
+std::string writeTop(const std::vector<TeamOverview> &teams, const CellOverview &cell)
 {
     json::array rows;
     for (const TeamOverview &team : teams) {
@@ -374,13 +374,36 @@
                                     {"limit", resourcesJson(team.limit.maximum)},
                                     {"dominantShare", team.dominantShare}});
     }
-    return json::serialize(json::object{{"teams", std::move(rows)}});
+    json::array queues;
+    for (const auto &[queue, load] : cell.queues) {
+        queues.push_back(json::object{
+            {"queue", queue.value}, {"waiting", load.waiting}, {"running", load.running}});
+    }
+    return json::serialize(json::object{{"teams", std::move(rows)},
+                                        {"queues", std::move(queues)},
+                                        {"workers", cell.workers},
+                                        {"capacity", resourcesJson(cell.capacity)}});
 }
 
-std::string writeConfig(ConfigVersion version, const CellConfig &config)
+std::string writeConfig(const ConfigImage &image)
 {
-    return json::serialize(
-        json::object{{"version", version.value}, {"declarations", config.source}});
+    json::array keys;
+    for (const Key &key : image.keys) {
+        keys.emplace_back(key.id.value);
+    }
+    json::array withdrawn;
+    for (const KeyId &id : image.withdrawnKeys) {
+        withdrawn.emplace_back(id.value);
+    }
+    json::array domainsOut;
+    for (const FailureDomainId &domain : image.domainsOut) {
+        domainsOut.emplace_back(domain.value);
+    }
+    return json::serialize(json::object{{"version", image.version.value},
+                                        {"declarations", image.config.source},
+                                        {"keys", std::move(keys)},
+                                        {"withdrawnKeys", std::move(withdrawn)},
+                                        {"domainsOut", std::move(domainsOut)}});
 }
 
 } // namespace gooseberry
--- /dev/null
+++ b/libs/operator/src/command_line.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <operator/cell_client.h>
+#include <operator/run.h>
+
+namespace gooseberry {
+
+enum class OutputFormat {
+    Table,
+    Json,
+    Yaml,
+};
+
+/** A command line that has been understood. */
+struct Invocation
+{
+    /** "apply" or "domain take-out". */
+    std::string command;
+    std::vector<std::string> arguments;
+    /** Flags of the command that were given, without the dashes. */
+    std::map<std::string, std::string> flags;
+    CellClientSettings client;
+    std::string token;
+    std::string key;
+    OutputFormat output = OutputFormat::Table;
+};
+
+/** What a command works with. */
+struct Context
+{
+    const Invocation &invocation;
+    CellClient &client;
+    std::ostream &out;
+    std::ostream &err;
+};
+
+/** One command: how it is called and what it does. */
+struct OperatorCommand
+{
+    std::string name;
+    std::string arguments;
+    std::size_t fewestArguments = 0;
+    std::size_t mostArguments = 0;
+    std::vector<std::string> flags;
+    bool needsServer = true;
+    std::string summary;
+    std::function<ExitCode(Context &)> run;
+};
+
+/** All commands, in the order in which the help lists them. */
+const std::vector<OperatorCommand> &allCommands();
+
+/** All flags of commands, with a description each. Flags that take no value are listed again. */
+const std::map<std::string, std::string> &commandFlags();
+bool takesNoValue(const std::string &flag);
+
+/** Returns the help text. */
+std::string helpText();
+
+/** Understands a command line, or fails with InvalidArgument; help and version are commands. */
+Result<Invocation> parseCommandLine(const std::vector<std::string> &arguments,
+                                    const Environment &environment);
+
+} // namespace gooseberry
