--- a/apps/gooseberryctl/src/main.cpp
+++ b/apps/gooseberryctl/src/main.cpp
@@ -11,7 +11,9 @@
 {
     Environment environment;
     for (const char *name : {"GOOSEBERRY_SERVER", "GOOSEBERRY_TOKEN", "GOOSEBERRY_KEY"}) {
-        if (const char *value = std::getenv(name); value != nullptr) {
+        // No other thread runs yet that could change the environment.
+        const char *value = std::getenv(name); // NOLINT(concurrency-mt-unsafe)
+        if (value != nullptr) {
             environment[name] = value;
         }
     }
--- a/libs/control/test/settings_test.cpp
+++ b/libs/control/test/settings_test.cpp
@@ -126,6 +126,26 @@
     }
 }
 
+// Guards against sample settings that the daemon refuses or that contradict each other.
+BOOST_AUTO_TEST_CASE(SampleSettingsAgree)
+{
+    for (const char *deployment : {"sicilia-est", "valle-central"}) {
+        std::vector<PeerSettings> peers;
+        for (const char *name : {"control-1", "control-2", "control-3"}) {
+            const std::string file = std::string(GL_SOURCE_DIR) + "/samples/" + deployment
+                + "/settings/" + name + ".yaml";
+            const Result<Settings> read = readSettings(file);
+            BOOST_REQUIRE_MESSAGE(ok(read), (ok(read) ? "" : errorOf(read).message));
+            const Settings &settings = valueOf(read);
+            BOOST_TEST(settings.id.value == name);
+            BOOST_TEST(settings.cell == deployment);
+            peers = peers.empty() ? settings.peers : peers;
+            BOOST_TEST((settings.peers == peers));
+            BOOST_TEST(peers.size() == 3U);
+        }
+    }
+}
+
 // Guards against a missing file that is reported as an empty one.
 BOOST_AUTO_TEST_CASE(NamesAFileThatCannotBeRead)
 {
--- a/libs/operator/src/output.cpp
+++ b/libs/operator/src/output.cpp
@@ -127,6 +127,7 @@
 
 Result<json::object> requestJson(Context &context, HttpRequest request, const std::string &secret)
 {
+    const std::string what = request.method + ' ' + request.target;
     const Result<HttpResponse> response = requestRaw(context, std::move(request), secret);
     if (!ok(response)) {
         return errorOf(response);
@@ -137,8 +138,7 @@
         return Error{.code = ErrorCode::Corrupt,
                      .step = Step::Receive,
                      .peer = {},
-                     .message = "the reply to " + request.method + ' ' + request.target
-                         + " is not a JSON object",
+                     .message = "the reply to " + what + " is not a JSON object",
                      .outcome = Outcome::Unknown};
     }
     return std::move(body.as_object());
