--- a/libs/contract/src/plan.cpp
+++ b/libs/contract/src/plan.cpp
@@ -110,7 +110,7 @@
             if (!(team.running == Resources{})) {
                 warn(plan, team.team.value,
                      "is removed and runs " + writeResources(team.running)
-                         + "; its running work ends, but none of it starts again");
+                         + "; what runs continues to its end, and nothing else of it starts");
             }
         } else if (const auto dimension = firstShortage(team.running, after->limit.maximum)) {
             warn(plan, team.team.value,
@@ -131,7 +131,8 @@
         if (before != nullptr && after == nullptr && hasWork) {
             warn(plan, id.value,
                  "is removed with " + std::to_string(load.waiting) + " waiting and "
-                     + std::to_string(load.running) + " running tasks");
+                     + std::to_string(load.running)
+                     + " running tasks; the waiting ones never start");
         } else if (after != nullptr && load.waiting > after->maxPendingTasks) {
             warn(plan, id.value,
                  "holds " + std::to_string(load.waiting) + " waiting tasks, more than its new "
--- a/libs/operator/src/output.cpp
+++ b/libs/operator/src/output.cpp
@@ -70,6 +70,8 @@
             const bool isLast = i + 1 == line.size();
             text += line[i] + std::string(isLast ? 0 : widths[i] + gap - line[i].size(), ' ');
         }
+        // An empty last cell leaves only padding behind.
+        text.erase(text.find_last_not_of(' ') + 1);
         text += '\n';
     }
     return text;
--- a/libs/operator/test/run_test.cpp
+++ b/libs/operator/test/run_test.cpp
@@ -289,7 +289,7 @@
                          ++polls < 3 ? R"({"job":"7","state":"running","tasks":[]})"
                                      : R"({"job":"7","state":"succeeded","tasks":[]})");
         }
-        HttpResponse answer = reply(200, "line\0two");
+        HttpResponse answer = reply(200, {});
         answer.body = std::string("a\0b\n", 4);
         answer.headers["digest"] = digestHeader(answer.body);
         answer.body = damaged ? "a" : answer.body;
