Split CellClient::send and damage files with YAML's own characters

The property tests replaced letters by any character, most of them control characters that are refused before the parser sees them; they now use the characters that mean something in YAML.

--- a/libs/contract/test/declaration_property_test.cpp
+++ b/libs/contract/test/declaration_property_test.cpp
@@ -33,6 +33,9 @@
 remove: {customers: [gone]}
 )";
 
+/** The characters that mean something in YAML, and a few that do not. */
+const std::string letters = " \n\t:{}[],-#&*!|>'\"%@`~?$abnr019.";
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(DeclarationPropertyTest)
@@ -40,10 +43,10 @@
 // Guards against a crash, a hang or an error without position on damaged files.
 BOOST_AUTO_TEST_CASE(DamagedFilesAreRefusedWithAPosition)
 {
-    checkProperty(7101, 2000, [](const std::vector<std::pair<std::uint16_t, char>> &edits) {
+    checkProperty(7101, 2000, [](const std::vector<std::pair<std::uint16_t, std::uint8_t>> &edits) {
         std::string text = sample;
         for (const auto &[at, letter] : edits) {
-            text[at % text.size()] = letter;
+            text[at % text.size()] = letters[letter % letters.size()];
         }
         const Result<CellConfig> next = applyDeclaration({}, text, "f.yaml");
         if (ok(next)) {
--- a/libs/control/test/settings_test.cpp
+++ b/libs/control/test/settings_test.cpp
@@ -160,10 +160,12 @@
     rc::detail::TestParams params;
     params.seed = 7201;
     params.maxSuccess = 2000;
-    const auto property = [](const std::vector<std::pair<std::uint16_t, char>> &edits) {
+    // The characters that mean something in YAML, and a few that do not.
+    const std::string letters = " \n\t:{}[],-#&*!|>'\"%@`~?$abnr019.";
+    const auto property = [&](const std::vector<std::pair<std::uint16_t, std::uint8_t>> &edits) {
         std::string text = complete;
         for (const auto &[at, letter] : edits) {
-            text[at % text.size()] = letter;
+            text[at % text.size()] = letters[letter % letters.size()];
         }
         const Result<Settings> settings = parseSettings(text, "s.yaml");
         if (!ok(settings)) {
--- a/libs/operator/src/cell_client.cpp
+++ b/libs/operator/src/cell_client.cpp
@@ -1,6 +1,7 @@
 #include <operator/cell_client.h>
 
 #include <future>
+#include <optional>
 #include <set>
 #include <thread>
 
@@ -45,6 +46,45 @@
     return passing.contains(error.code);
 }
 
+/** What the attempts of one request came to. */
+struct Trail
+{
+    Error last;
+    /** Whether one of the attempts may have had an effect. */
+    bool mayHaveRun = false;
+    /** Whether any server replied. */
+    bool reached = false;
+};
+
+/** Returns the response if it settles the request; otherwise notes what came instead. */
+std::optional<HttpResponse> settle(Result<HttpResponse> result, const Address &server, Trail &trail)
+{
+    if (ok(result)) {
+        trail.reached = true;
+        if (valueOf(result).status < firstServerError) {
+            return std::move(valueOf(result));
+        }
+        trail.last = readRefusal(valueOf(result), toString(server));
+        if (!mayPassElsewhere(trail.last) && trail.last.outcome == Outcome::NotRun) {
+            return std::move(valueOf(result));
+        }
+    } else {
+        trail.last = errorOf(result);
+    }
+    trail.mayHaveRun = trail.mayHaveRun || trail.last.outcome == Outcome::Unknown;
+    return std::nullopt;
+}
+
+/** Returns the last error with the outcome that holds for all attempts together. */
+Error finalError(const Trail &trail)
+{
+    Error error = trail.last;
+    error.outcome = trail.mayHaveRun ? Outcome::Unknown : error.outcome;
+    // Step Send stands for "no server was reached", which one reply rules out.
+    error.step = trail.reached && error.step == Step::Send ? Step::Receive : error.step;
+    return error;
+}
+
 } // namespace
 
 Error readRefusal(const HttpResponse &response, const std::string &server)
@@ -89,49 +129,29 @@
     const SteadyTime begin = std::chrono::steady_clock::now();
     const SteadyTime end = begin + this->settings.timeout;
     std::chrono::milliseconds pause = firstPause;
-    Error last{.code = ErrorCode::Unavailable,
-               .step = Step::Send,
-               .peer = {},
-               .message = "no server was given",
-               .outcome = Outcome::NotRun};
-    bool mayHaveRun = false;
-    bool reached = false;
+    Trail trail;
     for (std::size_t attempt = 1;; ++attempt) {
         const Address &server = this->settings.servers[this->current];
         const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
             end - std::chrono::steady_clock::now());
-        Result<HttpResponse> result
-            = this->sendOnce(server, request, std::clamp(left, firstPause, longestAttempt));
-        if (ok(result)) {
-            reached = true;
-            if (valueOf(result).status < firstServerError) {
-                return result;
-            }
-            last = readRefusal(valueOf(result), toString(server));
-            if (!mayPassElsewhere(last) && last.outcome == Outcome::NotRun) {
-                return result;
-            }
-        } else {
-            last = errorOf(result);
+        const auto settled
+            = settle(this->sendOnce(server, request, std::clamp(left, firstPause, longestAttempt)),
+                     server, trail);
+        if (settled) {
+            return *settled;
         }
-        mayHaveRun = mayHaveRun || last.outcome == Outcome::Unknown;
         this->current = (this->current + 1) % this->settings.servers.size();
         if (std::chrono::steady_clock::now() + pause >= end) {
-            break;
+            return finalError(trail);
         }
         if (attempt % this->settings.servers.size() == 0) {
             if (std::chrono::steady_clock::now() - begin > quietTime) {
-                this->progress << "still trying: " << describe(last) << '\n';
+                this->progress << "still trying: " << describe(trail.last) << '\n';
             }
             std::this_thread::sleep_for(pause);
             pause = std::min(pause * 2, longestPause);
         }
     }
-    last.outcome = mayHaveRun ? Outcome::Unknown : last.outcome;
-    if (reached && last.step == Step::Send && !mayHaveRun) {
-        last.step = Step::Receive;
-    }
-    return last;
 }
 
 } // namespace gooseberry
