--- a/libs/control/test/settings_test.cpp
+++ b/libs/control/test/settings_test.cpp
@@ -126,6 +126,26 @@
     }
 }
 
+// Guards against sample settings that the daemon refuses or that contradict each other.
+BOOST_AUTO_TEST_CASE(SampleSettingsAgree)
+{
+    for (const char *deployment : {"sicilia-est", "valle-central"}) {
+        std::vector<PeerSettings> peers;
+        for (const char *name : {"control-1", "control-2", "control-3"}) {
+            const std::string file = std::string(GL_SOURCE_DIR) + "/samples/" + deployment
+                + "/settings/" + name + ".yaml";
+            const Result<Settings> read = readSettings(file);
+            BOOST_REQUIRE_MESSAGE(ok(read), (ok(read) ? "" : errorOf(read).message));
+            const Settings &settings = valueOf(read);
+            BOOST_TEST(settings.id.value == name);
+            BOOST_TEST(settings.cell == deployment);
+            peers = peers.empty() ? settings.peers : peers;
+            BOOST_TEST((settings.peers == peers));
+            BOOST_TEST(peers.size() == 3U);
+        }
+    }
+}
+
 // Guards against a missing file that is reported as an empty one.
 BOOST_AUTO_TEST_CASE(NamesAFileThatCannotBeRead)
 {
@@ -140,10 +160,12 @@
     rc::detail::TestParams params;
     params.seed = 7201;
     params.maxSuccess = 2000;
-    const auto property = [](const std::vector<std::pair<std::uint16_t, char>> &edits) {
+    // The characters that mean something in YAML, and a few that do not.
+    const std::string letters = " \n\t:{}[],-#&*!|>'\"%@`~?$abnr019.";
+    const auto property = [&](const std::vector<std::pair<std::uint16_t, std::uint8_t>> &edits) {
         std::string text = complete;
         for (const auto &[at, letter] : edits) {
-            text[at % text.size()] = letter;
+            text[at % text.size()] = letters[letter % letters.size()];
         }
         const Result<Settings> settings = parseSettings(text, "s.yaml");
         if (!ok(settings)) {
