Outdate starts on their way when a lease expires or a worker restarts

Expiry and restart now raise the generation by the lag that a worker tolerates. - A start sent after its worker's lease had expired was tracked in a session that was never looked at again, so the task stayed running for ever. - A change that named a version after the next was merged over a configuration that its predecessor had yet to replace, and so reverted the predecessor. - A round that saw part of a gang could start it in part, and nonsensical job sizes were accepted by apply. The property test found the second: a job with no tasks or negative resources. - A withdrawn key got not-found from reads instead of unauthenticated. A start is also withheld if its attempt is not the running one any more.

--- a/libs/cell/include/cell/config_table.h
+++ b/libs/cell/include/cell/config_table.h
@@ -24,6 +24,13 @@
     std::set<FailureDomainId> domainsOut;
 };
 
+/** A version together with its content. */
+struct ConfigInForce
+{
+    ConfigVersion version;
+    std::shared_ptr<const CellConfig> config;
+};
+
 /** The configuration in force, keys and the state of failure domains, under one lock. */
 class ConfigTable
 {
@@ -40,6 +47,8 @@
     Status setDomain(const FailureDomainId &domain, bool inService);
 
     ConfigVersion version() const;
+    /** Returns the version and its content as one consistent reading. */
+    ConfigInForce inForceNow() const;
     std::shared_ptr<const CellConfig> current() const;
     std::set<FailureDomainId> domainsOut() const;
     bool isOut(const FailureDomainId &domain) const;
--- a/libs/cell/include/cell/job_table.h
+++ b/libs/cell/include/cell/job_table.h
@@ -59,6 +59,9 @@
     }
 };
 
+/** Returns whether the attempt is the one that the task has running, and on this instance. */
+bool runsAs(const JobRecord &job, const Placement &placement);
+
 /** Returns the state of a whole job: the worst of its tasks' states once all have ended. */
 TaskState summarise(const JobRecord &job);
 
--- a/libs/cell/src/cell_state.cpp
+++ b/libs/cell/src/cell_state.cpp
@@ -23,14 +23,6 @@
                       + placement.instance.value);
 }
 
-bool runsAs(const JobRecord &job, const Placement &placement)
-{
-    const std::uint32_t index = placement.attempt.task.index;
-    return index < job.tasks.size() && job.tasks[index].state == TaskState::Running
-        && job.tasks[index].attempt == placement.attempt.attempt
-        && job.tasks[index].instance == placement.instance;
-}
-
 /** Returns whether the report repeats one that already ended this very attempt. */
 bool endedAs(const JobRecord &job, const Finish &finish)
 {
@@ -133,6 +125,9 @@
 
 ApplyOutcome CellState::run(const Submit &command, CellTime at)
 {
+    if (Status status = checkJobSpec(command.spec); !ok(status)) {
+        return errorOf(status);
+    }
     const JobId next(this->lastJob.value + 1);
     if (const auto earlier = this->requestTable.insert(command.team, command.request, next)) {
         const auto job = this->jobTable.find(*earlier);
@@ -167,7 +162,12 @@
             allStarted = allStarted && ok(status);
             outcomes.push_back(PlacementOutcome{.placement = placement, .status = status});
         }
-        if (allStarted || !command.allOrNone) {
+        const bool gang = job.spec->jobClass == JobClass::Gang;
+        for (const TaskRecord &task : job.tasks) {
+            // A round that sees only some tasks of a gang must not start them without the rest.
+            allStarted = allStarted && !(gang && task.state == TaskState::Pending);
+        }
+        if (allStarted || !(command.allOrNone || gang)) {
             return;
         }
         for (PlacementOutcome &outcome : outcomes) {
--- a/libs/cell/src/config_table.cpp
+++ b/libs/cell/src/config_table.cpp
@@ -103,6 +103,12 @@
     return this->inForce;
 }
 
+ConfigInForce ConfigTable::inForceNow() const
+{
+    const std::lock_guard lock(this->mutex);
+    return ConfigInForce{.version = this->inForce, .config = this->config};
+}
+
 std::shared_ptr<const CellConfig> ConfigTable::current() const
 {
     const std::lock_guard lock(this->mutex);
--- a/libs/cell/src/coordinator.cpp
+++ b/libs/cell/src/coordinator.cpp
@@ -138,6 +138,12 @@
     if (Status status = this->checkLeading(Step::Answer); !ok(status)) {
         return errorOf(status);
     }
+    if (!caller.credential.empty()) {
+        const Result<TeamId> team = this->state.config().authenticate(caller.credential);
+        if (!ok(team)) {
+            return errorOf(team);
+        }
+    }
     auto found = this->state.jobs().find(id);
     // A job of another team looks like one that does not exist.
     if (!found || !this->maySee(caller, *found)) {
@@ -202,8 +208,15 @@
         reply(errorOf(status));
         return;
     }
-    const auto inForce = this->state.config().current();
-    Result<CellConfig> next = applyDeclaration(*inForce, text, fileName);
+    const ConfigInForce base = this->state.config().inForceNow();
+    if (version.value > base.version.value + 1) {
+        // It would be merged over a configuration that its predecessor has yet to change.
+        reply(refuse(ErrorCode::Conflict, Step::Admit,
+                     "version " + std::to_string(version.value) + " can't follow version "
+                         + std::to_string(base.version.value) + ", which is in force"));
+        return;
+    }
+    Result<CellConfig> next = applyDeclaration(*base.config, text, fileName);
     if (!ok(next)) {
         reply(errorOf(next));
         return;
--- a/libs/cell/src/coordinator_workers.cpp
+++ b/libs/cell/src/coordinator_workers.cpp
@@ -58,6 +58,8 @@
                         }
                     }
                     session.incarnation = report.incarnation;
+                    // A start to the earlier process may still arrive at this one.
+                    session.generation += maxStartLag;
                 }
                 lease = this->renew(session, report, lost);
             }
@@ -190,7 +192,8 @@
     // The check is made at the moment of sending: this leader may have been paused since the
     // commit, and operators may have taken the failure domain out.
     const bool mayStart = instance && job && ok(this->checkLeading(Step::Send))
-        && !this->state.config().isOut(instance->spec.domain) && !job->cancelRequested;
+        && !this->state.config().isOut(instance->spec.domain) && !job->cancelRequested
+        && runsAs(*job, placement);
     if (!mayStart) {
         this->release(placement, false, "start withheld");
         return;
@@ -269,10 +272,13 @@
     for (SessionShard &shard : this->sessionShards) {
         const std::lock_guard lock(shard.mutex);
         for (auto &[worker, session] : shard.sessions) {
-            if (session.expired || granterEnd(session.lease) > now) {
+            // A start that was committed before the expiry may have been sent after it.
+            if (granterEnd(session.lease) > now || (session.expired && session.starts.empty())) {
                 continue;
             }
             session.expired = true;
+            // A start that is still on its way must not run once the worker has a lease again.
+            session.generation += maxStartLag;
             this->state.fleet().setReachable(worker, false);
             spdlog::warn("event=worker-lease-expired worker={} attempts={}", worker.value,
                          session.starts.size());
--- a/libs/cell/src/job_table.cpp
+++ b/libs/cell/src/job_table.cpp
@@ -28,6 +28,14 @@
     return state != TaskState::Pending && state != TaskState::Running;
 }
 
+bool runsAs(const JobRecord &job, const Placement &placement)
+{
+    const std::uint32_t index = placement.attempt.task.index;
+    return index < job.tasks.size() && job.tasks[index].state == TaskState::Running
+        && job.tasks[index].attempt == placement.attempt.attempt
+        && job.tasks[index].instance == placement.instance;
+}
+
 TaskState summarise(const JobRecord &job)
 {
     TaskState worst = TaskState::Pending;
--- /dev/null
+++ b/libs/cell/test/cell_state_property_test.cpp
@@ -0,0 +1,450 @@
+#include <boost/test/unit_test.hpp>
+
+#include <set>
+
+#include <rapidcheck.h>
+
+#include "cell_fixture.h"
+
+using namespace gooseberry;
+
+namespace {
+
+CellConfig smallConfig(std::int64_t limitCores)
+{
+    CellConfig config;
+    config.source = "limit " + std::to_string(limitCores);
+    for (const char *domain : {"d0", "d1"}) {
+        config.domains.push_back(
+            FailureDomainSpec{.id = FailureDomainId(domain), .region = RegionId("r")});
+    }
+    Customer customer;
+    customer.id = CustomerId("c");
+    for (const char *name : {"c/t0", "c/t1"}) {
+        Team team;
+        team.id = TeamId(name);
+        team.limit.maximum.cpu = CpuMillis(limitCores * 1000);
+        customer.teams.push_back(team);
+    }
+    config.customers.push_back(customer);
+    return config;
+}
+
+int pick(int end)
+{
+    return *rc::gen::inRange(0, end);
+}
+
+InstanceId anyInstance()
+{
+    return InstanceId("w" + std::to_string(pick(3)));
+}
+
+JobId anyJob()
+{
+    return JobId(static_cast<std::uint64_t>(pick(8)));
+}
+
+Placement anyPlacement()
+{
+    return Placement{
+        .attempt
+        = AttemptId{.task = TaskId{.job = anyJob(), .index = static_cast<std::uint32_t>(pick(4))},
+                    .attempt = Attempt(static_cast<std::uint32_t>(pick(4)))},
+        .instance = anyInstance()};
+}
+
+/** Returns a placement that fits the state more often than chance would have it. */
+Placement likelyPlacement(const CellState &state, const JobRecord &job, std::uint32_t index)
+{
+    (void)state;
+    const TaskRecord &task = job.tasks[index];
+    const bool running = task.state == TaskState::Running;
+    return Placement{.attempt
+                     = AttemptId{.task = TaskId{.job = job.id, .index = index},
+                                 .attempt = Attempt(task.attempt.value + (running ? 0U : 1U))},
+                     .instance = running ? task.instance : anyInstance()};
+}
+
+std::vector<Placement> somePlacements(CellState &state, JobId &id)
+{
+    const std::vector<JobRecord> jobs = state.jobs().all();
+    if (jobs.empty() || pick(4) == 0) {
+        return {anyPlacement(), anyPlacement()};
+    }
+    const JobRecord &job = jobs[static_cast<std::size_t>(pick(static_cast<int>(jobs.size())))];
+    id = job.id;
+    std::vector<Placement> placements;
+    for (std::uint32_t index = 0; index < job.tasks.size(); ++index) {
+        if (pick(4) != 0) {
+            placements.push_back(likelyPlacement(state, job, index));
+        }
+    }
+    if (placements.empty()) {
+        placements.push_back(anyPlacement());
+    }
+    return placements;
+}
+
+Submit anySubmit()
+{
+    Submit submit;
+    submit.request = RequestId("r" + std::to_string(pick(6)));
+    submit.team = TeamId("c/t" + std::to_string(pick(2)));
+    submit.spec.queue = QueueId("c/q");
+    submit.spec.jobClass = pick(2) == 0 ? JobClass::Gang : JobClass::Batch;
+    submit.spec.taskCount = static_cast<std::uint32_t>(pick(4));
+    submit.spec.perTask.cpu = CpuMillis((pick(6) - 1) * 1000);
+    submit.spec.repeatable = pick(2) == 0;
+    return submit;
+}
+
+Command anyCommand(CellState &state)
+{
+    JobId job = anyJob();
+    std::vector<Placement> placements = somePlacements(state, job);
+    const FailureDomainId domain("d" + std::to_string(pick(3)));
+    switch (pick(16)) {
+    case 0:
+        return ApplyConfig{.version = ConfigVersion(static_cast<std::uint64_t>(pick(6))),
+                           .config = smallConfig(pick(3) + 4)};
+    case 1:
+        return SetDomain{.domain = domain, .inService = pick(2) == 0};
+    case 2:
+    case 3:
+        return anySubmit();
+    case 4:
+    case 5:
+    case 6:
+    case 7:
+        return Start{.job = job, .allOrNone = pick(2) == 0, .placements = placements};
+    case 8:
+    case 9:
+        return Finish{.placement = placements[0],
+                      .result = static_cast<AttemptResult>(pick(3)),
+                      .answer = std::string(static_cast<std::size_t>(pick(9)), 'a')};
+    case 10:
+        return Release{.placement = placements[0], .mayHaveRun = pick(2) == 0};
+    case 11:
+        return Cancel{.job = job};
+    case 12:
+        return Depart{.instance = anyInstance()};
+    case 13:
+        return Expire{.endedBefore = CellTime(std::chrono::milliseconds(pick(200)))};
+    default:
+        break;
+    }
+    InstanceSpec instance;
+    instance.id = anyInstance();
+    instance.domain = domain;
+    instance.capacity.cpu = CpuMillis((pick(6) + 1) * 1000);
+    return Announce{.instance = instance};
+}
+
+/** What the checks compare before and after a command. */
+struct Reading
+{
+    std::map<JobId, JobRecord> jobs;
+    std::map<InstanceId, Instance> instances;
+    std::set<FailureDomainId> out;
+    std::shared_ptr<const CellConfig> config;
+    ConfigVersion version;
+};
+
+Reading read(CellState &state)
+{
+    Reading reading;
+    for (JobRecord &job : state.jobs().all()) {
+        reading.jobs.emplace(job.id, job);
+    }
+    for (Instance &instance : state.fleet().snapshot()) {
+        reading.instances.emplace(instance.spec.id, instance);
+    }
+    reading.out = state.config().domainsOut();
+    reading.config = state.config().current();
+    reading.version = state.config().version();
+    return reading;
+}
+
+std::map<InstanceId, std::int64_t> runningByInstance(const Reading &reading)
+{
+    std::map<InstanceId, std::int64_t> total;
+    for (const auto &[id, job] : reading.jobs) {
+        for (const TaskRecord &task : job.tasks) {
+            if (task.state == TaskState::Running) {
+                total[task.instance] += job.spec->perTask.cpu.value;
+            }
+        }
+    }
+    return total;
+}
+
+std::map<TeamId, std::int64_t> runningByTeam(const Reading &reading)
+{
+    std::map<TeamId, std::int64_t> total;
+    for (const auto &[id, job] : reading.jobs) {
+        for (const TaskRecord &task : job.tasks) {
+            total[job.team] += task.state == TaskState::Running ? job.spec->perTask.cpu.value : 0;
+        }
+    }
+    return total;
+}
+
+/** Returns the first rule that one task's change breaks, or an empty text. */
+std::string checkTask(const Reading &before, const Reading &after, const JobRecord &job,
+                      std::uint32_t index)
+{
+    const TaskRecord &now = job.tasks[index];
+    const auto earlier = before.jobs.find(job.id);
+    const TaskRecord old
+        = earlier == before.jobs.end() ? TaskRecord{} : earlier->second.tasks[index];
+    const bool started = now.state == TaskState::Running
+        && (old.state != TaskState::Running || old.attempt != now.attempt);
+    if (isEnded(old.state)
+        && (now.state != old.state || now.attempt != old.attempt || now.answer != old.answer)) {
+        return "an ended task changed";
+    }
+    if (old.state == TaskState::Running && now.state == TaskState::Running
+        && (old.instance != now.instance || old.attempt != now.attempt)) {
+        return "a running task moved";
+    }
+    if (started && now.attempt.value <= old.attempt.value) {
+        return "an attempt number was used twice";
+    }
+    const auto instance = after.instances.find(now.instance);
+    if (started && (instance == after.instances.end() || instance->second.departing)) {
+        return "a task started on an instance that takes no work";
+    }
+    if (started && before.out.contains(instance->second.spec.domain)) {
+        return "a task started in a domain that was taken out";
+    }
+    return {};
+}
+
+/** Returns the first rule that the step from before to after breaks, or an empty text. */
+std::string checkStep(const Reading &before, const Reading &after)
+{
+    const auto oldInstances = runningByInstance(before);
+    for (const auto &[id, total] : runningByInstance(after)) {
+        const auto found = after.instances.find(id);
+        const auto old = oldInstances.find(id);
+        const bool grew = old == oldInstances.end() || total > old->second;
+        if (found == after.instances.end() || found->second.promised.cpu.value != total) {
+            return "what is promised differs from what runs";
+        }
+        // A worker may announce a smaller size than what runs; then nothing may be added.
+        if (grew && total > found->second.spec.capacity.cpu.value) {
+            return "an instance is overcommitted";
+        }
+    }
+    auto oldTeams = runningByTeam(before);
+    for (const auto &[id, total] : runningByTeam(after)) {
+        const Team *team = findTeam(*after.config, id);
+        const std::int64_t limit = team != nullptr ? team->limit.maximum.cpu.value : 0;
+        if (total > oldTeams[id] && total > limit) {
+            return "a team is above its limit";
+        }
+    }
+    for (const auto &[id, job] : after.jobs) {
+        bool anyStarted = false;
+        bool anyPending = false;
+        for (std::uint32_t index = 0; index < job.tasks.size(); ++index) {
+            if (std::string broken = checkTask(before, after, job, index); !broken.empty()) {
+                return broken;
+            }
+            const auto old = before.jobs.find(id);
+            anyPending = anyPending || job.tasks[index].state == TaskState::Pending;
+            anyStarted = anyStarted
+                || (job.tasks[index].state == TaskState::Running && old != before.jobs.end()
+                    && old->second.tasks[index].state == TaskState::Pending);
+        }
+        if (job.spec->jobClass == JobClass::Gang && anyStarted && anyPending) {
+            return "a gang started in part";
+        }
+    }
+    return after.version < before.version ? "the configuration reverted" : "";
+}
+
+bool sameTask(const TaskRecord &a, const TaskRecord &b)
+{
+    const bool sameAnswer
+        = a.answer == b.answer || (a.answer && b.answer && *a.answer == *b.answer);
+    return a.state == b.state && a.attempt == b.attempt && a.failures == b.failures
+        && a.instance == b.instance && a.startedAt == b.startedAt && a.endedAt == b.endedAt
+        && sameAnswer;
+}
+
+/** Compares everything that is replicated; what only a leader keeps is left out. */
+bool sameState(CellState &left, CellState &right)
+{
+    const Reading a = read(left);
+    const Reading b = read(right);
+    bool same = left.time() == right.time() && a.out == b.out && a.version == b.version
+        && *a.config == *b.config && left.answerBytes() == right.answerBytes()
+        && a.jobs.size() == b.jobs.size() && a.instances.size() == b.instances.size();
+    for (const auto &[id, job] : a.jobs) {
+        const auto other = b.jobs.find(id);
+        same = same && other != b.jobs.end() && job.endedTasks == other->second.endedTasks
+            && job.cancelRequested == other->second.cancelRequested
+            && *job.spec == *other->second.spec && job.endedAt == other->second.endedAt;
+        for (std::size_t index = 0; same && index < job.tasks.size(); ++index) {
+            same = sameTask(job.tasks[index], other->second.tasks[index]);
+        }
+    }
+    for (const auto &[id, instance] : a.instances) {
+        const auto other = b.instances.find(id);
+        same = same && other != b.instances.end() && instance.spec == other->second.spec
+            && instance.promised == other->second.promised
+            && instance.departing == other->second.departing;
+    }
+    return same;
+}
+
+void reserveAtRandom(CellState &leader)
+{
+    const Resources amount{.cpu = CpuMillis(1000), .memory = {}, .accelerators = {}, .slots = {}};
+    const InstanceId instance = anyInstance();
+    (void)leader.fleet().reserve(instance, amount);
+    leader.fleet().setReachable(instance, pick(2) == 0);
+    (void)leader.ledger().reserve(TeamId("c/t0"), amount, Limit{.maximum = amount});
+}
+
+/** Feeds one random session to a leader and a follower and checks every step. */
+void runSession()
+{
+    CellState leader;
+    CellState follower;
+    const StampedCommand first{
+        .at = {}, .command = ApplyConfig{.version = ConfigVersion(1), .config = smallConfig(5)}};
+    leader.apply(first);
+    follower.apply(first);
+    std::map<std::pair<TeamId, RequestId>, JobId> answers;
+    const int steps = *rc::gen::inRange(1, 120);
+    for (int step = 1; step <= steps; ++step) {
+        const Reading before = read(leader);
+        const StampedCommand next{.at = CellTime(std::chrono::milliseconds(step)),
+                                  .command = anyCommand(leader)};
+        reserveAtRandom(leader);
+        const ApplyOutcome outcome = leader.apply(next);
+        const ApplyOutcome same = follower.apply(next);
+        const bool sameOutcome = ok(outcome) == ok(same);
+        RC_ASSERT(sameOutcome);
+        const Reading after = read(leader);
+        const std::string broken = checkStep(before, after);
+        if (!broken.empty()) {
+            RC_FAIL(broken);
+        }
+        if (const Submit *submit = std::get_if<Submit>(&next.command); submit && ok(outcome)) {
+            const JobId job = std::get<JobId>(valueOf(outcome));
+            const auto known = answers.find({submit->team, submit->request});
+            // The id stands for the same job as long as the job is kept.
+            const bool isFirst = known == answers.end() || !before.jobs.contains(known->second);
+            const bool sameAnswer = isFirst || known->second == job;
+            RC_ASSERT(sameAnswer);
+            answers[{submit->team, submit->request}] = job;
+        }
+    }
+    RC_ASSERT(sameState(leader, follower));
+    CellState restored;
+    restored.restore(leader.image());
+    RC_ASSERT(sameState(leader, restored));
+}
+
+/** A small valid step that the broken ones below start from. */
+Reading readingWithRunningTask(JobClass jobClass)
+{
+    CellState state;
+    const auto run = [&state](Command command) {
+        state.apply(StampedCommand{.at = {}, .command = std::move(command)});
+    };
+    run(ApplyConfig{.version = ConfigVersion(1), .config = smallConfig(5)});
+    InstanceSpec instance;
+    instance.id = InstanceId("w0");
+    instance.domain = FailureDomainId("d0");
+    instance.capacity.cpu = CpuMillis(4000);
+    run(Announce{.instance = instance});
+    Submit submit;
+    submit.request = RequestId("r");
+    submit.team = TeamId("c/t0");
+    submit.spec.jobClass = jobClass;
+    submit.spec.perTask.cpu = CpuMillis(1000);
+    run(submit);
+    run(Start{.job = JobId(1),
+              .allOrNone = false,
+              .placements
+              = {Placement{.attempt = AttemptId{.task = TaskId{.job = JobId(1), .index = 0},
+                                                .attempt = Attempt(1)},
+                           .instance = instance.id}}});
+    return read(state);
+}
+
+Reading pendingReading(const Reading &running)
+{
+    Reading before = running;
+    before.jobs.at(JobId(1)).tasks[0] = TaskRecord{};
+    before.instances.at(InstanceId("w0")).promised = {};
+    return before;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(CellStatePropertyTest)
+
+// Guards against any order of commands, sensible or not, that breaks an invariant of the cell.
+BOOST_AUTO_TEST_CASE(KeepsInvariantsUnderRandomCommands)
+{
+    rc::detail::TestParams params;
+    params.seed = 20261204;
+    params.maxSuccess = 400;
+    const auto result = rc::detail::checkTestable(runSession, rc::detail::TestMetadata(), params);
+    if (!result.template is<rc::detail::SuccessResult>()) {
+        std::ostringstream text;
+        rc::detail::printResultMessage(result, text);
+        BOOST_FAIL(text.str());
+    }
+}
+
+// Guards against a checker that can't fail: each rule is broken once.
+BOOST_AUTO_TEST_CASE(CheckerFindsEachBrokenRule)
+{
+    const Reading good = readingWithRunningTask(JobClass::Batch);
+    const Reading before = pendingReading(good);
+    BOOST_TEST(checkStep(before, good) == "");
+    const auto broken = [&](const Reading &from, const auto &change) {
+        Reading after = good;
+        change(after);
+        return checkStep(from, after);
+    };
+    const InstanceId w0("w0");
+    BOOST_TEST(broken(before, [&](Reading &r) { r.instances.at(w0).promised = {}; })
+               == "what is promised differs from what runs");
+    BOOST_TEST(broken(before, [&](Reading &r) { r.instances.at(w0).spec.capacity = {}; })
+               == "an instance is overcommitted");
+    BOOST_TEST(
+        broken(before,
+               [&](Reading &r) { r.config = std::make_shared<const CellConfig>(smallConfig(0)); })
+        == "a team is above its limit");
+    BOOST_TEST(broken(before, [&](Reading &r) { r.instances.at(w0).departing = true; })
+               == "a task started on an instance that takes no work");
+    BOOST_TEST(broken(before, [&](Reading &r) { r.version = ConfigVersion(0); })
+               == "the configuration reverted");
+    Reading out = before;
+    out.out.insert(FailureDomainId("d0"));
+    BOOST_TEST(checkStep(out, good) == "a task started in a domain that was taken out");
+    Reading used = before;
+    used.jobs.at(JobId(1)).tasks[0].attempt = Attempt(1);
+    BOOST_TEST(checkStep(used, good) == "an attempt number was used twice");
+    Reading ended = before;
+    ended.jobs.at(JobId(1)).tasks[0].state = TaskState::Cancelled;
+    BOOST_TEST(checkStep(ended, good) == "an ended task changed");
+    Reading moved = good;
+    moved.jobs.at(JobId(1)).tasks[0].instance = InstanceId("w1");
+    BOOST_TEST(checkStep(moved, good) == "a running task moved");
+    Reading gang = readingWithRunningTask(JobClass::Gang);
+    Reading gangBefore = pendingReading(gang);
+    gangBefore.jobs.at(JobId(1)).tasks.emplace_back();
+    gang.jobs.at(JobId(1)).tasks.emplace_back();
+    BOOST_TEST(checkStep(gangBefore, gang) == "a gang started in part");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
