--- a/libs/cell/include/cell/job_table.h
+++ b/libs/cell/include/cell/job_table.h
@@ -69,6 +69,10 @@
     bool cancelRequested = false;
 };
 
+/** Returns whether the attempt is the one that the task has running, and on this instance. */
+bool runsAs(const TaskRecord &task, const Placement &placement);
+bool runsAs(const JobRecord &job, const Placement &placement);
+
 /** Returns the state of a whole job: the worst of its tasks' states once all have ended. */
 TaskState summarise(const JobRecord &job);
 
--- a/libs/cell/src/coordinator_workers.cpp
+++ b/libs/cell/src/coordinator_workers.cpp
@@ -58,6 +58,8 @@
                         }
                     }
                     session.incarnation = report.incarnation;
+                    // A start to the earlier process may still arrive at this one.
+                    session.generation += maxStartLag;
                 }
                 lease = this->renew(session, report, lost);
             }
@@ -187,7 +189,8 @@
     // The check is made at the moment of sending: this leader may have been paused since the
     // commit, and operators may have taken the failure domain out.
     const bool mayStart = instance && view && ok(this->checkLeading(Step::Send))
-        && !this->state.config().isOut(instance->spec.domain) && !view->cancelRequested;
+        && !this->state.config().isOut(instance->spec.domain) && !view->cancelRequested
+        && runsAs(view->task, placement);
     if (!mayStart) {
         this->release(placement, false, "start withheld");
         return;
@@ -287,7 +290,8 @@
     for (SessionShard &shard : this->sessionShards) {
         const std::lock_guard lock(shard.mutex);
         for (auto &[worker, session] : shard.sessions) {
-            if (session.expired || granterEnd(session.lease) > now) {
+            // A start that was committed before the expiry may have been sent after it.
+            if (granterEnd(session.lease) > now || (session.expired && session.starts.empty())) {
                 continue;
             }
             session.expired = true;
--- a/libs/cell/src/job_table.cpp
+++ b/libs/cell/src/job_table.cpp
@@ -28,6 +28,18 @@
     return state != TaskState::Pending && state != TaskState::Running;
 }
 
+bool runsAs(const TaskRecord &task, const Placement &placement)
+{
+    return task.state == TaskState::Running && task.attempt == placement.attempt.attempt
+        && task.instance == placement.instance;
+}
+
+bool runsAs(const JobRecord &job, const Placement &placement)
+{
+    const std::uint32_t index = placement.attempt.task.index;
+    return index < job.tasks.size() && runsAs(job.tasks[index], placement);
+}
+
 TaskState summarise(const JobRecord &job)
 {
     TaskState worst = TaskState::Pending;
