Check the scheduler with random operations and measure its decisions

Cause: nothing drove scheduler, fleet and ledger together, and there were no figures to compare changes with.

Change: a model keeps its own books beside the scheduler, checks each decision as it is made and all books every 250 operations, for 1,000,000 operations. Broken variants (RuleFaults) prove that each check notices.

--- a/cmake/GooseberryTargets.cmake
+++ b/cmake/GooseberryTargets.cmake
@@ -10,7 +10,8 @@
                         BOOST_ASIO_NO_DEPRECATED)
 
 # gl_library(NAME DEPENDS lib... LINK external... [NO_TEST])
-# Builds libs/NAME/src/*.cpp as gl_NAME, and libs/NAME/test/*.cpp as gl_NAME_test.
+# Builds libs/NAME/src/*.cpp as gl_NAME, libs/NAME/test/*.cpp as gl_NAME_test and
+# libs/NAME/bench/*.cpp as NAME_bench.
 function(gl_library name)
   cmake_parse_arguments(ARG "" "" "DEPENDS;LINK" ${ARGN})
   file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/${name}/src/*.cpp)
@@ -28,20 +29,37 @@
   list(TRANSFORM ARG_DEPENDS PREPEND gl_ OUTPUT_VARIABLE depends)
   target_link_libraries(gl_${name} PUBLIC ${depends} ${ARG_LINK} Threads::Threads
                         PRIVATE gl_warnings)
-  file(GLOB tests CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/${name}/test/*.cpp)
-  if(tests)
-    # BOOST_TEST_MODULE defines main(), so exactly one file of a test may define it.
-    set(test_main ${CMAKE_CURRENT_BINARY_DIR}/${name}_test_main.cpp)
-    file(CONFIGURE OUTPUT ${test_main}
-      CONTENT "#define BOOST_TEST_MODULE ${name}\n#include <boost/test/unit_test.hpp>\n")
-    add_executable(gl_${name}_test ${tests} ${test_main})
-    target_compile_definitions(gl_${name}_test PRIVATE BOOST_TEST_DYN_LINK
-      GL_SOURCE_DIR="${PROJECT_SOURCE_DIR}" GL_BINARY_DIR="${PROJECT_BINARY_DIR}")
-    target_include_directories(gl_${name}_test PRIVATE ${CMAKE_CURRENT_SOURCE_DIR}/${name}/src)
-    target_link_libraries(gl_${name}_test PRIVATE gl_${name} gl_warnings
-                          boost_unit_test_framework rapidcheck)
-    add_test(NAME ${name} COMMAND gl_${name}_test)
+  gl_library_test(${name} ${name} ${CMAKE_CURRENT_SOURCE_DIR}/${name}/test)
+  # Tests that need no thread checking, since they run on one thread.
+  gl_library_test(${name}_sequential ${name} ${CMAKE_CURRENT_SOURCE_DIR}/${name}/test/sequential)
+  if(TARGET gl_${name}_sequential_test)
+    set_tests_properties(${name}_sequential PROPERTIES LABELS sequential)
   endif()
+  file(GLOB benches CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/${name}/bench/*.cpp)
+  if(benches)
+    add_executable(${name}_bench ${benches})
+    target_link_libraries(${name}_bench PRIVATE gl_${name} gl_warnings)
+  endif()
+endfunction()
+
+# gl_library_test(NAME LIBRARY FOLDER)
+# Builds FOLDER/*.cpp, if there are any, as gl_NAME_test and registers it as the test NAME.
+function(gl_library_test name library folder)
+  file(GLOB tests CONFIGURE_DEPENDS ${folder}/*.cpp)
+  if(NOT tests)
+    return()
+  endif()
+  # BOOST_TEST_MODULE defines main(), so exactly one file of a test may define it.
+  set(test_main ${CMAKE_CURRENT_BINARY_DIR}/${name}_test_main.cpp)
+  file(CONFIGURE OUTPUT ${test_main}
+    CONTENT "#define BOOST_TEST_MODULE ${name}\n#include <boost/test/unit_test.hpp>\n")
+  add_executable(gl_${name}_test ${tests} ${test_main})
+  target_compile_definitions(gl_${name}_test PRIVATE BOOST_TEST_DYN_LINK
+    GL_SOURCE_DIR="${PROJECT_SOURCE_DIR}" GL_BINARY_DIR="${PROJECT_BINARY_DIR}")
+  target_include_directories(gl_${name}_test PRIVATE ${CMAKE_CURRENT_SOURCE_DIR}/${library}/src)
+  target_link_libraries(gl_${name}_test PRIVATE gl_${library} gl_warnings
+                        boost_unit_test_framework rapidcheck)
+  add_test(NAME ${name} COMMAND gl_${name}_test)
 endfunction()
 
 # gl_app(NAME DIR DEPENDS lib... LINK external...)
--- /dev/null
+++ b/libs/scheduler/bench/bench_cell.h
@@ -0,0 +1,139 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <scheduler/scheduler.h>
+
+namespace gooseberry::bench {
+
+/** The generated cell. */
+struct CellSize
+{
+    int workers = 48;
+    int accelerators = 0;
+    int teams = 8;
+    int domains = 3;
+    int customers = 6;
+};
+
+constexpr CellSize targetSize{
+    .workers = 1400, .accelerators = 2900, .teams = 40, .domains = 5, .customers = 6};
+constexpr CellSize presentSize{
+    .workers = 48, .accelerators = 100, .teams = 8, .domains = 3, .customers = 6};
+
+/** One job of a generated input. */
+struct BenchJob
+{
+    JobId id;
+    TeamId team;
+    std::shared_ptr<const JobSpec> spec;
+    std::chrono::milliseconds runTime{0};
+    CellTime submittedAt;
+};
+
+/** A task that was given a place. */
+struct Placed
+{
+    TaskId task;
+    Attempt attempt;
+    InstanceId instance;
+    TeamId team;
+};
+
+Resources sized(std::int64_t cores, std::int64_t gigabytes, std::int64_t accelerators = 0);
+std::vector<InstanceSpec> generateFleet(const CellSize &size);
+CellConfig generateConfig(const CellSize &size);
+
+/** Generates jobs of mixed shapes with a fixed seed. */
+class JobSource
+{
+public:
+    JobSource(std::uint64_t seed, const CellConfig &config);
+
+    BenchJob next(JobClass jobClass, std::uint32_t tasks, const Resources &perTask);
+    /** A batch job of 1 to 16 tasks of a common shape. */
+    BenchJob nextMixed(bool withAccelerators);
+    std::size_t pick(std::size_t count);
+    double uniform();
+
+private:
+    std::mt19937_64 random;
+    std::vector<TeamId> teams;
+    std::uint64_t lastJob = 0;
+};
+
+/** What a decision loop drives: the scheduler or the baseline. */
+class Placer
+{
+public:
+    virtual ~Placer() = default;
+    virtual void submit(const BenchJob &job) = 0;
+    /** Decides and commits all starts; only the decision is timed. */
+    virtual std::vector<Placed> round(SteadyTime now) = 0;
+    virtual void end(const Placed &placed, EndCause cause, SteadyTime now) = 0;
+    virtual void retry(const BenchJob &job, const Placed &placed) = 0;
+    /** Returns what is in use on each instance. */
+    virtual std::vector<Instance> instances() const = 0;
+    std::chrono::nanoseconds decisionTime{0};
+};
+
+class SchedulerPlacer : public Placer
+{
+public:
+    SchedulerPlacer(const CellSize &size, unsigned threads);
+
+    void submit(const BenchJob &job) override;
+    std::vector<Placed> round(SteadyTime now) override;
+    void end(const Placed &placed, EndCause cause, SteadyTime now) override;
+    void retry(const BenchJob &job, const Placed &placed) override;
+    std::vector<Instance> instances() const override;
+    std::vector<TeamUsage> usage() const;
+    Resources capacity() const;
+    std::size_t quarantined(SteadyTime now) const;
+
+private:
+    Fleet fleet;
+    TeamLedger ledger;
+    CellConfig config;
+    Scheduler scheduler;
+    std::map<JobId, BenchJob> jobs;
+};
+
+/** First come first served with first fit; work that does not fit is skipped, gangs are whole. */
+class FirstFitPlacer : public Placer
+{
+public:
+    explicit FirstFitPlacer(const CellSize &size);
+
+    void submit(const BenchJob &job) override;
+    std::vector<Placed> round(SteadyTime now) override;
+    void end(const Placed &placed, EndCause cause, SteadyTime now) override;
+    void retry(const BenchJob &job, const Placed &placed) override;
+    std::vector<Instance> instances() const override;
+
+private:
+    struct Waiting
+    {
+        BenchJob job;
+        std::deque<std::pair<std::uint32_t, Attempt>> tasks;
+    };
+
+    std::vector<Instance> fleet;
+    std::map<InstanceId, std::size_t> positions;
+    std::map<JobId, std::shared_ptr<const JobSpec>> specs;
+    std::deque<Waiting> waiting;
+};
+
+/** Returns how many tasks of the size fit into what is free, counting whole tasks per instance. */
+std::uint64_t placeable(const std::vector<Instance> &instances, const Resources &perTask);
+
+} // namespace gooseberry::bench
--- /dev/null
+++ b/libs/scheduler/bench/scheduler_bench.cpp
@@ -0,0 +1,360 @@
+// Measures decisions over generated snapshots with fixed seeds. Every figure that stands for a goal
+// is a ratio or a rate within this run; a simple event clock lets tasks end. There is no network,
+// no log and no worker here.
+
+#include "bench_cell.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <functional>
+#include <thread>
+
+using namespace gooseberry;
+using namespace gooseberry::bench;
+using namespace std::chrono_literals;
+
+namespace {
+
+const SteadyTime beginning{1h};
+
+void report(const char *name, double value, const char *goal, bool met)
+{
+    std::printf("%-58s %12.4f  %-14s %s\n", name, value, goal, met ? "met" : "MISSED");
+}
+
+void note(const char *name, double value)
+{
+    std::printf("%-58s %12.4f\n", name, value);
+}
+
+double percentile(std::vector<double> values, double part)
+{
+    if (values.empty()) {
+        return 0.0;
+    }
+    std::sort(values.begin(), values.end());
+    const auto index = static_cast<std::size_t>(part * static_cast<double>(values.size() - 1));
+    return values[index];
+}
+
+struct Rates
+{
+    double perSecond = 0.0;
+    double p50Millis = 0.0;
+    double p99Millis = 0.0;
+};
+
+/** Ends random tasks until so many run. */
+void endDownTo(Placer &placer, std::vector<Placed> &running, std::size_t target, JobSource &source)
+{
+    while (running.size() > target) {
+        std::swap(running[source.pick(running.size())], running.back());
+        placer.end(running.back(), EndCause::Succeeded, beginning);
+        running.pop_back();
+    }
+}
+
+/**
+ * Keeps the cell at the given number of running tasks and lets each round place about as many as
+ * it has to; counts only the time of the rounds.
+ */
+Rates measureRate(const CellSize &size, unsigned threads, std::size_t runningTasks,
+                  std::size_t perRound, int rounds, int impossiblePercent = 0)
+{
+    SchedulerPlacer placer(size, threads);
+    JobSource source(7, generateConfig(size));
+    std::vector<Placed> running;
+    std::vector<double> perDecision;
+    std::chrono::nanoseconds spent{0};
+    std::size_t placedTotal = 0;
+    for (int round = -1; round < rounds; ++round) {
+        const bool warmUp = round < 0;
+        std::size_t submitted = 0;
+        while (submitted < (warmUp ? runningTasks : perRound)) {
+            if (static_cast<int>(source.pick(100)) < impossiblePercent) {
+                placer.submit(source.next(JobClass::Batch, 1, sized(1000, 1)));
+            }
+            const BenchJob job = source.nextMixed(true);
+            placer.submit(job);
+            submitted += job.spec->taskCount;
+        }
+        const std::vector<Placed> placed = placer.round(beginning);
+        running.insert(running.end(), placed.begin(), placed.end());
+        if (!warmUp && !placed.empty()) {
+            spent += placer.decisionTime;
+            placedTotal += placed.size();
+            perDecision.push_back(
+                std::chrono::duration<double, std::milli>(placer.decisionTime).count());
+        }
+        endDownTo(placer, running, runningTasks, source);
+    }
+    const double seconds = std::chrono::duration<double>(spent).count();
+    return Rates{.perSecond = static_cast<double>(placedTotal) / seconds,
+                 .p50Millis = percentile(perDecision, 0.5),
+                 .p99Millis = percentile(perDecision, 0.99)};
+}
+
+void benchRate()
+{
+    std::printf(
+        "\n-- decisions: 1,400 workers, 2,900 accelerators, 40 teams, 9,100 tasks running\n");
+    constexpr std::size_t runningTasks = 9'100;
+    const Rates one = measureRate(targetSize, 1, runningTasks, 1'000, 40);
+    const Rates four = measureRate(targetSize, 4, runningTasks, 1'000, 40);
+    const Rates single = measureRate(targetSize, 1, runningTasks, 1, 1'000);
+    note("placements per second, 1 thread", one.perSecond);
+    report("placements per second, 4 threads", four.perSecond, ">= 5000", four.perSecond >= 5000);
+    report("speed-up from 1 to 4 threads", four.perSecond / one.perSecond, ">= 2.5",
+           four.perSecond / one.perSecond >= 2.5);
+    note("round with one job, p50 (ms)", single.p50Millis);
+    report("round with one job, p99 (ms)", single.p99Millis, "<= 5", single.p99Millis <= 5.0);
+    const Rates smallScaled = measureRate(presentSize, 1, 300, 34, 300);
+    const Rates small = measureRate(presentSize, 1, 300, 64, 300);
+    const Rates large = measureRate(targetSize, 1, runningTasks, 64, 300);
+    const double scaled = smallScaled.perSecond / one.perSecond;
+    report("cost per decision, 1,400 over 48, rounds in proportion", scaled, "<= 2", scaled <= 2.0);
+    const double equal = small.perSecond / large.perSecond;
+    report("cost per decision, 1,400 over 48, 64 tasks a round", equal, "<= 2", equal <= 2.0);
+}
+
+void benchImpossible()
+{
+    std::printf("\n-- impossible jobs\n");
+    // Alternating halves keep a change of the machine's load out of the ratio.
+    double without = 0.0;
+    double with = 0.0;
+    for (int half = 0; half < 3; ++half) {
+        without += measureRate(targetSize, 1, 9'100, 1'000, 15).perSecond;
+        with += measureRate(targetSize, 1, 9'100, 1'000, 15, 10).perSecond;
+    }
+    report("decision cost with 10 % impossible jobs over without", without / with, "<= 1.1",
+           without / with <= 1.1);
+}
+
+void benchShare()
+{
+    std::printf("\n-- fairness while full\n");
+    SchedulerPlacer placer(targetSize, 1);
+    const CellConfig config = generateConfig(targetSize);
+    JobSource source(11, config);
+    for (int job = 0; job < 12'000; ++job) {
+        placer.submit(source.nextMixed(false));
+    }
+    placer.round(beginning);
+    std::map<TeamId, double> got;
+    double total = 0.0;
+    for (const TeamUsage &usage : placer.usage()) {
+        got[usage.team] = dominantShare(usage.running, placer.capacity());
+        total += got[usage.team];
+    }
+    double customerWeights = 0.0;
+    for (const Customer &customer : config.customers) {
+        customerWeights += customer.share.weight;
+    }
+    double distance = 0.0;
+    for (const Customer &customer : config.customers) {
+        double teamWeights = 0.0;
+        for (const Team &team : customer.teams) {
+            teamWeights += team.share.weight;
+        }
+        for (const Team &team : customer.teams) {
+            const double entitled
+                = total * customer.share.weight / customerWeights * team.share.weight / teamWeights;
+            distance += std::abs(got[team.id] - entitled);
+        }
+    }
+    report("share distance, 40 teams", distance / total, "<= 0.05", distance / total <= 0.05);
+}
+
+/** Returns the largest used fraction of any dimension: no placement can use more than all of it. */
+double usedOfBound(const std::vector<Instance> &instances)
+{
+    Resources used;
+    Resources capacity;
+    for (const Instance &instance : instances) {
+        used = add(used, instance.promised).value();
+        capacity = add(capacity, instance.spec.capacity).value();
+    }
+    return dominantShare(used, capacity);
+}
+
+void fillWith(Placer &placer, int jobs, bool withAccelerators)
+{
+    JobSource source(13, generateConfig(targetSize));
+    for (int job = 0; job < jobs; ++job) {
+        placer.submit(source.nextMixed(withAccelerators));
+    }
+    placer.round(beginning);
+}
+
+void benchPacking()
+{
+    std::printf("\n-- packing, 1,400 workers\n");
+    SchedulerPlacer full(targetSize, 1);
+    FirstFitPlacer fullBase(targetSize);
+    fillWith(full, 4'000, true);
+    fillWith(fullBase, 4'000, true);
+    const double ours = usedOfBound(full.instances());
+    const double base = usedOfBound(fullBase.instances());
+    report("used over the per-dimension bound", ours, ">= 0.95", ours >= 0.95);
+    report("the same, over first fit", ours / base, ">= 1", ours >= base);
+    SchedulerPlacer partly(targetSize, 1);
+    FirstFitPlacer partlyBase(targetSize);
+    fillWith(partly, 750, true);
+    fillWith(partlyBase, 750, true);
+    const auto gang = [](const Placer &placer, const Resources &perTask) {
+        return static_cast<double>(placeable(placer.instances(), perTask));
+    };
+    note("load before the gang (fraction of the bound)", usedOfBound(partly.instances()));
+    note("largest gang of 32 cores, 64 GB", gang(partly, sized(32, 64)));
+    note("the same, first fit", gang(partlyBase, sized(32, 64)));
+    note("largest gang of 16 cores, 32 GB, 4 accelerators", gang(partly, sized(16, 32, 4)));
+    note("the same, first fit", gang(partlyBase, sized(16, 32, 4)));
+}
+
+/** An event clock: tasks end, jobs arrive, and a round follows each event. */
+struct Running
+{
+    SteadyTime end;
+    Placed placed;
+    bool fails = false;
+
+    bool operator>(const Running &other) const
+    {
+        return this->end > other.end;
+    }
+};
+using Ends = std::priority_queue<Running, std::vector<Running>, std::greater<>>;
+
+/** Returns the waiting times in seconds of the small class, for a mix of small and large work. */
+std::vector<double> smallWaits(Placer &placer, double load)
+{
+    // 48 workers of 64 cores. A small task takes 2 cores for 10 s, a large one 16 for 300 s.
+    constexpr double cores = 48 * 64;
+    constexpr double smallShare = 0.2;
+    const double smallPerSecond = load * smallShare * cores / (2 * 10);
+    const double largePerSecond = load * (1 - smallShare) * cores / (16 * 300);
+    const CellConfig config = generateConfig(presentSize);
+    JobSource source(17, config);
+    std::map<JobId, std::pair<SteadyTime, BenchJob>> jobs;
+    std::vector<double> waits;
+    Ends ends;
+    SteadyTime now = beginning;
+    constexpr auto tick = 200ms;
+    double smallDue = 0.0;
+    double largeDue = 0.0;
+    while (now < beginning + 1800s) {
+        now += tick;
+        while (!ends.empty() && ends.top().end <= now) {
+            placer.end(ends.top().placed, EndCause::Succeeded, now);
+            ends.pop();
+        }
+        const auto arrive = [&](double &due, double rate, const Resources &size, bool small) {
+            due += rate * 0.2 * 2 * source.uniform();
+            for (; due >= 1.0; due -= 1.0) {
+                BenchJob job = source.next(JobClass::Batch, 1, size);
+                job.team = config.customers[small ? 0 : 1].teams[0].id;
+                job.runTime = small ? 10s : 300s;
+                jobs.emplace(job.id, std::pair(now, job));
+                placer.submit(job);
+            }
+        };
+        arrive(smallDue, smallPerSecond, sized(2, 1), true);
+        arrive(largeDue, largePerSecond, sized(16, 8), false);
+        for (const Placed &placed : placer.round(now)) {
+            const auto &[submitted, job] = jobs.at(placed.task.job);
+            if (job.runTime == 10s) {
+                waits.push_back(std::chrono::duration<double>(now - submitted).count());
+            }
+            ends.push(Running{.end = now + job.runTime, .placed = placed});
+        }
+    }
+    return waits;
+}
+
+void benchWaiting()
+{
+    std::printf("\n-- waiting of the small class (seconds, p99), 48 workers, 30 min\n");
+    for (const double load : {0.7, 1.0, 1.5}) {
+        SchedulerPlacer placer(presentSize, 1);
+        FirstFitPlacer base(presentSize);
+        const std::vector<double> ours = smallWaits(placer, load);
+        const std::vector<double> theirs = smallWaits(base, load);
+        std::printf("load %.1f: %9.1f  first fit %9.1f   started %zu and %zu\n", load,
+                    percentile(ours, 0.99), percentile(theirs, 0.99), ours.size(), theirs.size());
+    }
+}
+
+/** 60 workers, so that 3 are exactly 5 %. */
+constexpr CellSize faultySize{
+    .workers = 60, .accelerators = 0, .teams = 8, .domains = 3, .customers = 6};
+
+/** Returns how many tasks succeed in ten minutes while some workers fail all they get at once. */
+double goodput(Placer &placer, int failingWorkers)
+{
+    std::set<InstanceId> failing;
+    for (int number = 0; number < failingWorkers; ++number) {
+        failing.insert(InstanceId("worker-" + std::to_string(number * 20 + 1)));
+    }
+    JobSource source(19, generateConfig(faultySize));
+    std::map<JobId, BenchJob> jobs;
+    Ends ends;
+    std::size_t succeeded = 0;
+    std::size_t open = 0;
+    for (SteadyTime now = beginning; now < beginning + 600s; now += 500ms) {
+        while (open < 800) {
+            const BenchJob job = source.next(JobClass::Batch, 8, sized(4, 8));
+            jobs.emplace(job.id, job);
+            placer.submit(job);
+            open += 8;
+        }
+        while (!ends.empty() && ends.top().end <= now) {
+            const Running ended = ends.top();
+            ends.pop();
+            placer.end(ended.placed, ended.fails ? EndCause::Failed : EndCause::Succeeded, now);
+            if (ended.fails) {
+                placer.retry(jobs.at(ended.placed.task.job), ended.placed);
+            } else {
+                ++succeeded;
+                --open;
+            }
+        }
+        for (const Placed &placed : placer.round(now)) {
+            const bool fails = failing.contains(placed.instance);
+            ends.push(
+                Running{.end = now + (fails ? 500ms : 30'000ms), .placed = placed, .fails = fails});
+        }
+    }
+    return static_cast<double>(succeeded);
+}
+
+void benchGoodput()
+{
+    std::printf("\n-- goodput, 60 workers, 3 of them (5 %%) fail everything\n");
+    constexpr int failing = 3;
+    SchedulerPlacer healthy(faultySize, 1);
+    SchedulerPlacer faulty(faultySize, 1);
+    FirstFitPlacer baseHealthy(faultySize);
+    FirstFitPlacer baseFaulty(faultySize);
+    const double ours = goodput(faulty, failing) / goodput(healthy, 0);
+    const double base = goodput(baseFaulty, failing) / goodput(baseHealthy, 0);
+    report("goodput over that without failing workers", ours, ">= 0.93", ours >= 0.93);
+    note("the same, first fit", base);
+}
+
+} // namespace
+
+int main()
+{
+    std::setvbuf(stdout, nullptr, _IOLBF, 0);
+    std::printf("scheduler_bench: %u processors seen\n", std::thread::hardware_concurrency());
+    std::printf("%-58s %12s  %-14s\n", "figure", "measured", "goal");
+    benchRate();
+    benchImpossible();
+    benchShare();
+    benchPacking();
+    benchWaiting();
+    benchGoodput();
+    return 0;
+}
--- /dev/null
+++ b/libs/scheduler/test/sequential/scheduler_property_test.cpp
@@ -0,0 +1,134 @@
+#include "cell_model.h"
+
+#include <sstream>
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+using namespace gooseberry;
+using namespace gooseberry::test;
+
+namespace {
+
+constexpr int runs = 200;
+constexpr int operationsPerRun = 5'000;
+
+/** Returns the rule that a faulty scheduler breaks within some runs, or "none". */
+std::string ruleBrokenBy(const RuleFaults &faults, bool submitRefused = false,
+                         bool commitTwice = false)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        ModelSetup setup;
+        setup.seed = seed;
+        setup.operations = 2'000;
+        setup.faults = faults;
+        setup.submitRefused = submitRefused;
+        setup.commitTwice = commitTwice;
+        if (const auto broken = CellModel(setup).run()) {
+            return *broken;
+        }
+    }
+    return "none";
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(SchedulerPropertyTest)
+
+// Guards against any order of submissions, ends, losses, take-outs and changes that overcommits an
+// instance, runs a task twice, passes a limit, splits a gang, starts in a domain taken out, starts
+// refused work or loses count. Runs 1,000,000 operations. Each decision is checked as it is made;
+// all books are compared every 250 operations.
+BOOST_AUTO_TEST_CASE(KeepsAllRulesUnderRandomOperations)
+{
+    std::uint64_t committed = 0;
+    rc::detail::TestParams parameters;
+    parameters.seed = 20261204;
+    parameters.maxSuccess = runs;
+    parameters.disableShrinking = true;
+    const auto result = rc::detail::checkTestable(
+        [&committed] {
+            ModelSetup setup;
+            setup.seed = *rc::gen::arbitrary<std::uint64_t>();
+            setup.operations = operationsPerRun;
+            setup.instances = *rc::gen::inRange(2, 14);
+            setup.teams = *rc::gen::inRange(2, 7);
+            CellModel model(setup);
+            const auto broken = model.run();
+            committed += model.startsCommitted();
+            if (broken) {
+                RC_FAIL("rule broken: " + *broken + ", seed " + std::to_string(setup.seed)
+                        + ", instances " + std::to_string(setup.instances) + ", teams "
+                        + std::to_string(setup.teams));
+            }
+        },
+        rc::detail::TestMetadata{.id = "scheduler", .description = "keeps all rules"}, parameters);
+    std::ostringstream message;
+    rc::detail::printResultMessage(result, message);
+    BOOST_TEST(result.template is<rc::detail::SuccessResult>(), message.str());
+    // A model that hardly starts anything would prove nothing.
+    BOOST_TEST(committed > 50'000U);
+    BOOST_TEST_MESSAGE("starts committed: " << committed);
+}
+
+// Guards against a check that notices nothing: without the size check it must report it.
+BOOST_AUTO_TEST_CASE(NoticesOvercommittedInstance)
+{
+    RuleFaults faults;
+    faults.ignoreInstanceSize = true;
+    BOOST_TEST(ruleBrokenBy(faults) == "instance overcommitted");
+}
+
+// Guards against a check that overlooks a team above its limit.
+BOOST_AUTO_TEST_CASE(NoticesTeamAboveItsLimit)
+{
+    RuleFaults faults;
+    faults.ignoreTeamLimit = true;
+    BOOST_TEST(ruleBrokenBy(faults) == "team above its limit");
+}
+
+// Guards against a check that overlooks starts in a failure domain taken out.
+BOOST_AUTO_TEST_CASE(NoticesStartInDomainTakenOut)
+{
+    RuleFaults faults;
+    faults.ignoreDomainsOut = true;
+    BOOST_TEST(ruleBrokenBy(faults) == "start in a failure domain taken out");
+}
+
+// Guards against a check that overlooks half a gang.
+BOOST_AUTO_TEST_CASE(NoticesSplitGang)
+{
+    RuleFaults faults;
+    faults.splitGangs = true;
+    BOOST_TEST(ruleBrokenBy(faults) == "gang is not whole");
+}
+
+// Guards against a check that overlooks a task that is decided twice.
+BOOST_AUTO_TEST_CASE(NoticesTaskDecidedTwice)
+{
+    RuleFaults faults;
+    faults.keepStartedTasks = true;
+    BOOST_TEST(ruleBrokenBy(faults) == "task in two places");
+}
+
+// Guards against a check that overlooks a task that is committed twice.
+BOOST_AUTO_TEST_CASE(NoticesTaskCommittedTwice)
+{
+    BOOST_TEST(ruleBrokenBy({}, false, true) == "task in two places");
+}
+
+// Guards against a check that overlooks a refused job that starts.
+BOOST_AUTO_TEST_CASE(NoticesStartOfRefusedJob)
+{
+    BOOST_TEST(ruleBrokenBy({}, true) == "start of a refused, cancelled or ended job");
+}
+
+// Guards against a check that overlooks reservations that are never released.
+BOOST_AUTO_TEST_CASE(NoticesLostReservations)
+{
+    RuleFaults faults;
+    faults.loseReservations = true;
+    BOOST_TEST(ruleBrokenBy(faults).find("books differ") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
