Keep the scheduler's view of the fleet between rounds

Change: the fleet lists instances whose use changed, and the view takes over only those; it is rebuilt when membership, domains, quarantine or a reservation change. The innermost comparison is inlined, and known failures are looked up under the lock that is held anyway. The fairness input of the benchmark now offers one class and more of it than any team is entitled to: with services before batch work and limited demand, the entitlement was computed wrongly.

--- a/libs/fleet/include/fleet/fleet_table.h
+++ b/libs/fleet/include/fleet/fleet_table.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include <base/base.h>
@@ -61,6 +62,11 @@
      * what is in use on it. While it stands, what no instance could hold stays impossible.
      */
     std::uint64_t membershipVersion() const;
+    /**
+     * Returns the instances whose use changed since the last call, as they are now. Meant for the
+     * one scheduler of the fleet, which so refreshes its view without copying all instances.
+     */
+    std::vector<Instance> takeChanged();
 
     /** Puts back an instance with its promised amount, when a snapshot is restored. */
     void restore(const Instance &instance);
@@ -71,6 +77,8 @@
     {
         mutable std::mutex mutex;
         std::map<InstanceId, Instance> instances;
+        /** Instances whose use changed since takeChanged(). */
+        std::set<InstanceId> changed;
     };
     static constexpr std::size_t shardCount = 16;
 
--- a/libs/fleet/src/fleet_table.cpp
+++ b/libs/fleet/src/fleet_table.cpp
@@ -95,6 +95,7 @@
         = checkFits(instance, reserved ? add(instance.promised, *reserved) : std::nullopt);
     if (ok(status)) {
         instance.reserved = *reserved;
+        shard.changed.insert(id);
     }
     return status;
 }
@@ -106,6 +107,7 @@
     if (const auto found = shard.instances.find(id); found != shard.instances.end()) {
         Resources &reserved = found->second.reserved;
         reserved = subtract(reserved, amount).value_or(Resources{});
+        shard.changed.insert(id);
     }
 }
 
@@ -125,6 +127,7 @@
     Status status = checkFits(instance, promised);
     if (ok(status)) {
         instance.promised = *promised;
+        shard.changed.insert(id);
     }
     return status;
 }
@@ -136,6 +139,7 @@
     if (const auto found = shard.instances.find(id); found != shard.instances.end()) {
         Resources &promised = found->second.promised;
         promised = subtract(promised, amount).value_or(Resources{});
+        shard.changed.insert(id);
     }
 }
 
@@ -186,6 +190,21 @@
     return this->changes.load();
 }
 
+std::vector<Instance> Fleet::takeChanged()
+{
+    std::vector<Instance> all;
+    for (Shard &shard : this->shards) {
+        const std::lock_guard lock(shard.mutex);
+        for (const InstanceId &id : shard.changed) {
+            if (const auto found = shard.instances.find(id); found != shard.instances.end()) {
+                all.push_back(found->second);
+            }
+        }
+        shard.changed.clear();
+    }
+    return all;
+}
+
 void Fleet::restore(const Instance &instance)
 {
     Shard &shard = this->shardOf(instance.spec.id);
@@ -199,6 +218,7 @@
     for (Shard &shard : this->shards) {
         const std::lock_guard lock(shard.mutex);
         shard.instances.clear();
+        shard.changed.clear();
     }
     ++this->changes;
 }
--- a/libs/policy/src/ordering.cpp
+++ b/libs/policy/src/ordering.cpp
@@ -72,7 +72,10 @@
                           team.oldest, team.customer, index);
     };
     for (std::size_t index = 0; index < order.teams.size(); ++index) {
-        if (order.teams[index].wants && (!best || rank(index) < rank(*best))) {
+        if (!order.teams[index].wants) {
+            continue;
+        }
+        if (!best || rank(index) < rank(*best)) {
             best = index;
         }
     }
--- a/libs/policy/src/placement.cpp
+++ b/libs/policy/src/placement.cpp
@@ -56,6 +56,14 @@
     return dimensions == 0 ? 0.0 : sum / dimensions + imbalanceWeight * (most - least);
 }
 
+/** The same as !firstShortage(), but inlined: this is the innermost loop of a decision. */
+bool hasRoomFor(const Candidate &candidate, const Resources &wanted)
+{
+    return wanted.cpu <= candidate.free.cpu && wanted.memory <= candidate.free.memory
+        && wanted.accelerators <= candidate.free.accelerators
+        && wanted.slots <= candidate.free.slots;
+}
+
 bool mayTake(const Candidate &candidate, const PlacementRequest &request)
 {
     if (request.service != ServiceIndex(0) && request.service != candidate.service) {
@@ -101,7 +109,7 @@
 
 bool fits(const Candidate &candidate, const PlacementRequest &request)
 {
-    return mayTake(candidate, request) && !firstShortage(request.amount, candidate.free);
+    return mayTake(candidate, request) && hasRoomFor(candidate, request.amount);
 }
 
 CandidateChoice chooseCandidate(std::span<const Candidate> candidates,
@@ -116,7 +124,7 @@
             continue;
         }
         choice.anyEligible = true;
-        if (firstShortage(request.amount, candidate.free)) {
+        if (!hasRoomFor(candidate, request.amount)) {
             continue;
         }
         const Fit fit = fitOf(candidate, request);
--- a/libs/scheduler/bench/scheduler_bench.cpp
+++ b/libs/scheduler/bench/scheduler_bench.cpp
@@ -138,8 +138,10 @@
     SchedulerPlacer placer(targetSize, 1);
     const CellConfig config = generateConfig(targetSize);
     JobSource source(11, config);
+    // One class, since classes go before shares, and more of it than any team is entitled to.
     for (int job = 0; job < 12'000; ++job) {
-        placer.submit(source.nextMixed(false));
+        const Resources perTask = source.nextMixed(false).spec->perTask;
+        placer.submit(source.next(JobClass::Batch, 8, perTask));
     }
     placer.round(beginning);
     std::map<TeamId, double> got;
--- a/libs/scheduler/include/scheduler/scheduler_core.h
+++ b/libs/scheduler/include/scheduler/scheduler_core.h
@@ -16,6 +16,7 @@
 
 namespace gooseberry {
 
+class FleetView;
 class HealthTable;
 class RetryQueue;
 class RoundThreads;
@@ -96,14 +97,12 @@
     void admitRetries(SteadyTime now);
     void noteDomains(const RoundInput &input);
     /** Returns the instances that get no new work now: quarantined, or not yet in the ramp. */
-    std::set<InstanceId> avoidedInstances(const std::vector<Instance> &instances,
-                                          SteadyTime now) const;
-    /** Returns a number that grows whenever a shape that fitted nowhere could fit somewhere. */
-    std::uint64_t updateCapacityVersion(const RoundInput &input,
-                                        const std::set<InstanceId> &avoided);
+    std::set<InstanceId> avoidedInstances(SteadyTime now) const;
     void expireReservation(SteadyTime now);
     void updateReservation(const SchedulingRound &round, const std::vector<StartGroup> &groups,
-                           const std::vector<Instance> &instances, const RoundInput &input);
+                           const RoundInput &input);
+    /** Refreshes the view of the fleet, or builds a new one when more than use has changed. */
+    void updateView(const RoundInput &input);
     std::vector<PreemptionDecision> makeRoom(std::vector<UrgentNeed> needs,
                                              std::vector<Instance> instances,
                                              const RoundInput &input);
@@ -124,8 +123,13 @@
 
     /** Held for a whole round; guards what follows. */
     mutable std::mutex roundMutex;
+    std::unique_ptr<FleetView> view;
+    /** Grows whenever a shape that fitted nowhere could fit somewhere. */
     std::uint64_t capacityVersion = 1;
     std::uint64_t seenMembership = 0;
+    Resources seenCapacity;
+    /** The reservation that the view was built with. */
+    JobId seenHeldFor;
     std::set<FailureDomainId> seenDomainsOut;
     std::set<InstanceId> seenAvoided;
     /** When failure domains came back, until their ramp is over. */
--- a/libs/scheduler/src/fleet_view.cpp
+++ b/libs/scheduler/src/fleet_view.cpp
@@ -90,6 +90,7 @@
     std::size_t next = 0;
     for (const auto &[candidate, name] : group) {
         Slice &slice = *this->slices[first + next % count];
+        this->positions[this->names[name]] = {first + next % count, slice.candidates.size()};
         slice.candidates.push_back(candidate);
         slice.nameIndexes.push_back(name);
         slice.mostFree = mostOf(slice.mostFree, candidate.free);
@@ -97,6 +98,21 @@
     }
 }
 
+void FleetView::refresh(const std::vector<Instance> &changed)
+{
+    for (const Instance &instance : changed) {
+        const auto found = this->positions.find(instance.spec.id);
+        if (found == this->positions.end()) {
+            continue;
+        }
+        Slice &slice = *this->slices[found->second.first];
+        const std::lock_guard lock(slice.mutex);
+        Candidate &candidate = slice.candidates[found->second.second];
+        candidate.free = freeCapacity(instance);
+        slice.mostFree = mostOf(slice.mostFree, candidate.free);
+    }
+}
+
 ServiceIndex FleetView::serviceIndex(const std::string &service) const
 {
     const auto found = this->services.find(service);
--- a/libs/scheduler/src/fleet_view.h
+++ b/libs/scheduler/src/fleet_view.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <span>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include <base/base.h>
@@ -33,13 +34,15 @@
     InstanceId instance;
     JobId job;
     SteadyTime until;
+
+    bool operator==(const HeldInstance &other) const = default;
 };
 
 /**
- * The instances that take new work, as of the start of a round, in slices that each have their own
- * lock. A placement looks at one slice after the other and stops at the first that has room, so
- * its cost does not grow with the fleet; only work that finds no room looks at all slices.
- * Instances with accelerators are in slices of their own.
+ * The instances that take new work, with what was free at the start of a round, in slices that each
+ * have their own lock. A placement looks at one slice after the other and stops at the first that
+ * has room, so its cost does not grow with the fleet; only work that finds no room looks at all
+ * slices. Instances with accelerators are in slices of their own.
  */
 class FleetView
 {
@@ -47,6 +50,9 @@
     FleetView(const std::vector<Instance> &instances, const std::set<FailureDomainId> &domainsOut,
               const std::set<InstanceId> &avoided, const std::vector<HeldInstance> &held);
 
+    /** Takes over what is free now on instances that the view knows; called between rounds. */
+    void refresh(const std::vector<Instance> &changed);
+
     ServiceIndex serviceIndex(const std::string &service) const;
     std::optional<DomainIndex> domainIndex(const InstanceId &instance) const;
     /** Counts a task of a job that runs already, so that the next ones go elsewhere. */
@@ -87,7 +93,9 @@
     std::uint32_t leastInDomain(const SpreadCounts &counts) const;
 
     std::vector<InstanceId> names;
-    std::map<InstanceId, std::pair<DomainIndex, RackIndex>> locations;
+    std::unordered_map<InstanceId, std::pair<DomainIndex, RackIndex>> locations;
+    /** The slice of each instance and its index there. */
+    std::unordered_map<InstanceId, std::pair<std::size_t, std::size_t>> positions;
     std::map<std::string, ServiceIndex> services;
     std::set<DomainIndex> domains;
     std::vector<std::unique_ptr<Slice>> slices;
--- a/libs/scheduler/src/scheduler_core.cpp
+++ b/libs/scheduler/src/scheduler_core.cpp
@@ -86,33 +86,22 @@
     if (this->waiting->pendingTasks() == 0) {
         return {};
     }
-    const std::vector<Instance> instances = this->fleet.snapshot();
-    const std::set<InstanceId> avoided = this->avoidedInstances(instances, input.now);
-    std::vector<HeldInstance> held;
-    if (this->room) {
-        for (const InstanceId &instance : this->room->reservation.instances) {
-            held.push_back(HeldInstance{.instance = instance,
-                                        .job = this->room->reservation.job,
-                                        .until = this->room->expectedStart});
-        }
-    }
-    const bool ignoreDomains = this->settings.faults.ignoreDomainsOut;
-    FleetView view(instances, ignoreDomains ? std::set<FailureDomainId>{} : input.domainsOut,
-                   avoided, held);
+    this->updateView(input);
     SchedulingRound round(
         RoundParts{.fleet = this->fleet,
                    .ledger = this->ledger,
                    .waiting = *this->waiting,
                    .running = *this->running,
-                   .view = view,
+                   .view = *this->view,
                    .input = input,
                    .settings = this->settings,
                    .pausedGangs = this->pausedGangs,
-                   .capacityVersion = this->updateCapacityVersion(input, avoided),
+                   .capacityVersion = this->capacityVersion,
+                   .capacity = this->seenCapacity,
                    .reservedFor = this->room ? this->room->reservation.job : JobId{}});
     this->threads->run([&](unsigned thread) { round.work(thread, this->threads->count()); });
     std::vector<StartGroup> groups = round.takeGroups();
-    this->updateReservation(round, groups, instances, input);
+    this->updateReservation(round, groups, input);
     return groups;
 }
 
@@ -156,14 +145,13 @@
     });
 }
 
-std::set<InstanceId> Scheduler::avoidedInstances(const std::vector<Instance> &instances,
-                                                 SteadyTime now) const
+std::set<InstanceId> Scheduler::avoidedInstances(SteadyTime now) const
 {
     std::set<InstanceId> avoided = this->health->quarantined(now);
     if (this->returned.empty()) {
         return avoided;
     }
-    for (const Instance &instance : instances) {
+    for (const Instance &instance : this->fleet.snapshot()) {
         const auto found = this->returned.find(instance.spec.domain);
         if (found == this->returned.end()) {
             continue;
@@ -177,18 +165,41 @@
     return avoided;
 }
 
-std::uint64_t Scheduler::updateCapacityVersion(const RoundInput &input,
-                                               const std::set<InstanceId> &avoided)
+void Scheduler::updateView(const RoundInput &input)
 {
+    // Both are read before the instances, so that a change in between is seen in the next round.
     const std::uint64_t membership = this->fleet.membershipVersion();
-    if (membership != this->seenMembership || input.domainsOut != this->seenDomainsOut
-        || avoided != this->seenAvoided) {
-        this->seenMembership = membership;
-        this->seenAvoided = avoided;
-        ++this->capacityVersion;
+    const std::vector<Instance> changed = this->fleet.takeChanged();
+    std::set<InstanceId> avoided = this->avoidedInstances(input.now);
+    const JobId heldFor = this->room ? this->room->reservation.job : JobId{};
+    const bool sameInstances = this->view && membership == this->seenMembership
+        && input.domainsOut == this->seenDomainsOut && avoided == this->seenAvoided;
+    if (sameInstances && heldFor == this->seenHeldFor) {
+        this->view->refresh(changed);
+        return;
     }
+    this->capacityVersion += sameInstances ? 0 : 1;
+    this->seenMembership = membership;
     this->seenDomainsOut = input.domainsOut;
-    return this->capacityVersion;
+    this->seenAvoided = std::move(avoided);
+    this->seenHeldFor = heldFor;
+    std::vector<HeldInstance> held;
+    if (this->room) {
+        for (const InstanceId &instance : this->room->reservation.instances) {
+            held.push_back(HeldInstance{
+                .instance = instance, .job = heldFor, .until = this->room->expectedStart});
+        }
+    }
+    const std::vector<Instance> instances = this->fleet.snapshot();
+    this->seenCapacity = Resources{};
+    for (const Instance &instance : instances) {
+        this->seenCapacity
+            = add(this->seenCapacity, instance.spec.capacity).value_or(this->seenCapacity);
+    }
+    const std::set<FailureDomainId> none;
+    this->view = std::make_unique<FleetView>(
+        instances, this->settings.faults.ignoreDomainsOut ? none : input.domainsOut,
+        this->seenAvoided, held);
 }
 
 void Scheduler::expireReservation(SteadyTime now)
@@ -207,8 +218,7 @@
 }
 
 void Scheduler::updateReservation(const SchedulingRound &round,
-                                  const std::vector<StartGroup> &groups,
-                                  const std::vector<Instance> &instances, const RoundInput &input)
+                                  const std::vector<StartGroup> &groups, const RoundInput &input)
 {
     for (const StartGroup &group : groups) {
         if (this->room && group.job == this->room->reservation.job) {
@@ -220,11 +230,10 @@
         return;
     }
     std::vector<Instance> usable;
-    for (const Instance &instance : instances) {
+    for (const Instance &instance : this->fleet.snapshot()) {
         if (takesNewWork(instance, input.domainsOut)
             && !this->seenAvoided.contains(instance.spec.id)) {
-            // What this round has placed counts; the snapshot is from before it.
-            usable.push_back(this->fleet.find(instance.spec.id).value_or(instance));
+            usable.push_back(instance);
         }
     }
     this->room
--- a/libs/scheduler/src/scheduling_round.cpp
+++ b/libs/scheduler/src/scheduling_round.cpp
@@ -24,7 +24,7 @@
 SchedulingRound::SchedulingRound(const RoundParts &initialParts)
     : parts(initialParts)
     , order(makeFairOrder(*initialParts.input.config, initialParts.ledger.allUsage(),
-                          initialParts.fleet.totalCapacity()))
+                          initialParts.capacity))
 {
     this->addUndeclaredTeams();
     for (std::size_t team = 0; team < this->order.teams.size(); ++team) {
@@ -131,6 +131,7 @@
         pick.total = multiply(work->spec->perTask, static_cast<std::uint32_t>(work->tasks.size()))
                          .value_or(work->spec->perTask);
         pick.work = std::move(*work);
+        pick.reason = this->knownFailure(pick.work).value_or(Reason::BestFit);
         charge(this->order, *team, pick.total);
         picks.push_back(std::move(pick));
     }
@@ -201,8 +202,7 @@
 {
     const JobSpec &spec = *pick.work.spec;
     const bool gang = spec.jobClass == JobClass::Gang;
-    if (const auto known = this->knownFailure(pick.work)) {
-        pick.reason = *known;
+    if (pick.reason != Reason::BestFit) {
         return;
     }
     const FairTeam &team = this->order.teams[pick.team];
@@ -298,12 +298,11 @@
     ++counts.perRack[place.rack];
 }
 
-std::optional<Reason> SchedulingRound::knownFailure(const TakenWork &work)
+std::optional<Reason> SchedulingRound::knownFailure(const TakenWork &work) const
 {
-    if (work.waiting.id == this->parts.reservedFor) {
+    if (this->failures.empty() || work.waiting.id == this->parts.reservedFor) {
         return std::nullopt;
     }
-    const std::lock_guard lock(this->mutex);
     const auto found = this->failures.find(shapeOf(*work.spec));
     return found == this->failures.end() ? std::nullopt : std::optional(found->second);
 }
--- a/libs/scheduler/src/scheduling_round.h
+++ b/libs/scheduler/src/scheduling_round.h
@@ -32,6 +32,8 @@
     /** Gangs that get no reservation now. */
     const std::map<JobId, SteadyTime> &pausedGangs;
     std::uint64_t capacityVersion = 0;
+    /** The sum of all declared sizes. */
+    Resources capacity;
     /** The gang that holds a reservation, if any. */
     JobId reservedFor;
 };
@@ -79,7 +81,8 @@
     PlacementRequest requestFor(const TakenWork &work) const;
     SpreadCounts spreadOf(const JobId &job);
     void countSpread(const JobId &job, const ViewPlace &place);
-    std::optional<Reason> knownFailure(const TakenWork &work);
+    /** Returns why a job of the same shape found no place in this round. */
+    std::optional<Reason> knownFailure(const TakenWork &work) const;
 
     RoundParts parts;
     /** Guards order, step, sequence, decided, failures and unplacedGang. */
