Block shapes that are known to fail without taking them out

Cause: in a full cell, each team's jobs of a shape that had failed already were taken out of the table and put back, and a slice without room was scanned and summed up again for each of them.

Change: known failures are blocked where they wait; a slice remembers that its bound is exact; room is compared before everything else. A gang whose reservation is paused no longer hides other gangs of its shape.

--- a/libs/policy/src/placement.cpp
+++ b/libs/policy/src/placement.cpp
@@ -120,13 +120,15 @@
     Fit second;
     for (std::size_t index = 0; index < candidates.size(); ++index) {
         const Candidate &candidate = candidates[index];
-        if (!mayTake(candidate, request)) {
+        // Room is the cheaper question and the more frequent answer is no.
+        if (!hasRoomFor(candidate, request.amount)) {
+            choice.anyEligible = choice.anyEligible || mayTake(candidate, request);
             continue;
         }
-        choice.anyEligible = true;
-        if (!hasRoomFor(candidate, request.amount)) {
+        if (!mayTake(candidate, request)) {
             continue;
         }
+        choice.anyEligible = true;
         const Fit fit = fitOf(candidate, request);
         if (!choice.best || fit < best) {
             choice.runnerUp = choice.best;
--- a/libs/scheduler/src/fleet_view.cpp
+++ b/libs/scheduler/src/fleet_view.cpp
@@ -109,6 +109,7 @@
         const std::lock_guard lock(slice.mutex);
         Candidate &candidate = slice.candidates[found->second.second];
         candidate.free = freeCapacity(instance);
+        slice.exact = false;
         slice.mostFree = mostOf(slice.mostFree, candidate.free);
     }
 }
@@ -181,13 +182,18 @@
         return std::nullopt;
     }
     const CandidateChoice choice = chooseCandidate(slice.candidates, request);
+    if (!choice.best && slice.exact) {
+        return std::nullopt;
+    }
     if (!choice.best) {
+        slice.exact = true;
         slice.mostFree = Resources{};
         for (const Candidate &candidate : slice.candidates) {
             slice.mostFree = mostOf(slice.mostFree, candidate.free);
         }
         return std::nullopt;
     }
+    slice.exact = false;
     Candidate &chosen = slice.candidates[*choice.best];
     chosen.free = subtract(chosen.free, request.amount).value_or(Resources{});
     ViewPlace place{.slice = sliceIndex,
@@ -216,6 +222,7 @@
     Slice &slice = *this->slices[place.slice];
     const std::lock_guard lock(slice.mutex);
     slice.candidates[place.index].free = Resources{};
+    slice.exact = false;
 }
 
 std::uint32_t FleetView::countFits(const PlacementRequest &request, std::uint32_t enough)
--- a/libs/scheduler/src/fleet_view.h
+++ b/libs/scheduler/src/fleet_view.h
@@ -82,6 +82,8 @@
         std::vector<std::size_t> nameIndexes;
         /** At least the largest free amount in each dimension; never too small. */
         Resources mostFree;
+        /** Whether mostFree is exact; a placement makes it a mere bound. */
+        bool exact = true;
     };
     /** Slices of about this size keep a decision as cheap as in a small cell. */
     static constexpr std::size_t sliceSize = 48;
--- a/libs/scheduler/src/scheduling_round.cpp
+++ b/libs/scheduler/src/scheduling_round.cpp
@@ -28,11 +28,7 @@
 {
     this->addUndeclaredTeams();
     for (std::size_t team = 0; team < this->order.teams.size(); ++team) {
-        const FairTeam &entry = this->order.teams[team];
-        this->parts.waiting.openRound(entry.id,
-                                      BlockContext{.capacityVersion = this->parts.capacityVersion,
-                                                   .held = entry.held,
-                                                   .limit = entry.limit},
+        this->parts.waiting.openRound(this->order.teams[team].id, this->blockContext(team),
                                       this->parts.input.now);
         this->updateWants(team);
     }
@@ -95,6 +91,13 @@
     }
 }
 
+BlockContext SchedulingRound::blockContext(std::size_t team) const
+{
+    const FairTeam &entry = this->order.teams[team];
+    return BlockContext{
+        .capacityVersion = this->parts.capacityVersion, .held = entry.held, .limit = entry.limit};
+}
+
 void SchedulingRound::updateWants(std::size_t team)
 {
     FairTeam &entry = this->order.teams[team];
@@ -120,7 +123,9 @@
             }
             continue;
         }
-        auto work = this->parts.waiting.take(this->order.teams[*team].id, this->step);
+        auto work
+            = this->parts.waiting.take(this->order.teams[*team].id, this->step, this->failures,
+                                       this->parts.reservedFor, this->blockContext(*team));
         this->updateWants(*team);
         if (!work) {
             continue;
@@ -131,7 +136,6 @@
         pick.total = multiply(work->spec->perTask, static_cast<std::uint32_t>(work->tasks.size()))
                          .value_or(work->spec->perTask);
         pick.work = std::move(*work);
-        pick.reason = this->knownFailure(pick.work).value_or(Reason::BestFit);
         charge(this->order, *team, pick.total);
         picks.push_back(std::move(pick));
     }
@@ -156,21 +160,20 @@
             }
         }
         refund(this->order, pick.team, pick.total);
-        const FairTeam &team = this->order.teams[pick.team];
-        this->parts.waiting.putBack(pick.work, pick.reason,
-                                    BlockContext{.capacityVersion = this->parts.capacityVersion,
-                                                 .held = team.held,
-                                                 .limit = team.limit});
+        this->parts.waiting.putBack(pick.work, pick.reason, this->blockContext(pick.team));
         this->updateWants(pick.team);
         if (pick.reason == Reason::TeamAtLimit) {
             continue;
         }
+        if (this->parts.pausedGangs.contains(pick.work.waiting.id)) {
+            // Another gang of the same shape may still become the one to keep room for.
+            continue;
+        }
         this->failures.emplace(shapeOf(*pick.work.spec), pick.reason);
         const bool waitsForRoom
             = pick.reason == Reason::NoCapacity || pick.reason == Reason::RoomReserved;
         const bool first = !this->unplacedGang || pick.sequence < this->unplacedSequence;
-        if (pick.work.spec->jobClass == JobClass::Gang && waitsForRoom && first
-            && !this->parts.pausedGangs.contains(pick.work.waiting.id)) {
+        if (pick.work.spec->jobClass == JobClass::Gang && waitsForRoom && first) {
             this->unplacedSequence = pick.sequence;
             this->unplacedGang = GangNeed{
                 .job = pick.work.waiting.id,
@@ -202,9 +205,6 @@
 {
     const JobSpec &spec = *pick.work.spec;
     const bool gang = spec.jobClass == JobClass::Gang;
-    if (pick.reason != Reason::BestFit) {
-        return;
-    }
     const FairTeam &team = this->order.teams[pick.team];
     if (!this->parts.settings.faults.ignoreTeamLimit
         && !ok(this->parts.ledger.reserve(team.id, pick.total, team.limit))) {
@@ -298,13 +298,4 @@
     ++counts.perRack[place.rack];
 }
 
-std::optional<Reason> SchedulingRound::knownFailure(const TakenWork &work) const
-{
-    if (this->failures.empty() || work.waiting.id == this->parts.reservedFor) {
-        return std::nullopt;
-    }
-    const auto found = this->failures.find(shapeOf(*work.spec));
-    return found == this->failures.end() ? std::nullopt : std::optional(found->second);
-}
-
 } // namespace gooseberry
--- a/libs/scheduler/src/scheduling_round.h
+++ b/libs/scheduler/src/scheduling_round.h
@@ -81,8 +81,7 @@
     PlacementRequest requestFor(const TakenWork &work) const;
     SpreadCounts spreadOf(const JobId &job);
     void countSpread(const JobId &job, const ViewPlace &place);
-    /** Returns why a job of the same shape found no place in this round. */
-    std::optional<Reason> knownFailure(const TakenWork &work) const;
+    BlockContext blockContext(std::size_t team) const;
 
     RoundParts parts;
     /** Guards order, step, sequence, decided, failures and unplacedGang. */
--- a/libs/scheduler/src/waiting_table.cpp
+++ b/libs/scheduler/src/waiting_table.cpp
@@ -223,11 +223,14 @@
     return heads.empty() ? std::nullopt : std::optional(heads.begin()->first.first);
 }
 
-std::optional<TakenWork> WaitingTable::take(const TeamId &team, OrderStep step)
+std::optional<TakenWork> WaitingTable::take(const TeamId &team, OrderStep step,
+                                            const std::map<Shape, Reason> &failures,
+                                            const JobId &exempt, const BlockContext &context)
 {
     TeamShard &shard = this->teamShard(team);
     const std::lock_guard lock(shard.mutex);
     TeamQueue &queue = shard.teams[team];
+    blockKnown(queue, step, failures, exempt, context);
     const auto &heads = queue.heads.at(static_cast<std::size_t>(step));
     if (heads.empty()) {
         return std::nullopt;
@@ -262,14 +265,7 @@
     }
     entry.taken -= std::min(entry.taken, static_cast<std::uint32_t>(work.tasks.size()));
     refresh(queue, entry);
-    const BucketKey key = bucketKey(entry);
-    const auto bucket = queue.buckets.find(key);
-    if (bucket != queue.buckets.end()) {
-        dropHead(queue, bucket->second);
-        bucket->second.blocked = reason;
-        bucket->second.blockedAt = context;
-        queue.blocked.insert(key);
-    }
+    block(queue, bucketKey(entry), reason, context);
 }
 
 void WaitingTable::placed(const TakenWork &work)
@@ -396,6 +392,35 @@
     }
 }
 
+void WaitingTable::block(TeamQueue &queue, const BucketKey &key, Reason reason,
+                         const BlockContext &context)
+{
+    const auto bucket = queue.buckets.find(key);
+    if (bucket != queue.buckets.end()) {
+        dropHead(queue, bucket->second);
+        bucket->second.blocked = reason;
+        bucket->second.blockedAt = context;
+        queue.blocked.insert(key);
+    }
+}
+
+void WaitingTable::blockKnown(TeamQueue &queue, OrderStep step,
+                              const std::map<Shape, Reason> &failures, const JobId &exempt,
+                              const BlockContext &context)
+{
+    const auto &heads = queue.heads.at(static_cast<std::size_t>(step));
+    while (!failures.empty() && !heads.empty() && heads.begin()->first.second != exempt) {
+        const BucketKey key = heads.begin()->second;
+        Shape shape = key.second;
+        shape.gang = JobId{};
+        const auto found = failures.find(shape);
+        if (found == failures.end()) {
+            return;
+        }
+        block(queue, key, found->second, context);
+    }
+}
+
 void WaitingTable::dropHead(TeamQueue &queue, const Bucket &bucket)
 {
     if (!bucket.jobs.empty()) {
--- a/libs/scheduler/src/waiting_table.h
+++ b/libs/scheduler/src/waiting_table.h
@@ -82,8 +82,13 @@
     void openRound(const TeamId &team, const BlockContext &context, SteadyTime now);
     /** Returns when the oldest job was submitted that the team can offer in the step. */
     std::optional<CellTime> oldest(const TeamId &team, OrderStep step) const;
-    /** Returns what one more task (or gang) of the team's oldest job would take. */
-    std::optional<TakenWork> take(const TeamId &team, OrderStep step);
+    /**
+     * Returns one more task (or gang) of the team's oldest job. Shapes that are known to find no
+     * room in this round are blocked on the way, except for the one exempt job.
+     */
+    std::optional<TakenWork> take(const TeamId &team, OrderStep step,
+                                  const std::map<Shape, Reason> &failures, const JobId &exempt,
+                                  const BlockContext &context);
     /** Puts tasks back that found no place and blocks their shape until the next round. */
     void putBack(const TakenWork &work, Reason reason, const BlockContext &context);
     /** Forgets tasks that found a place. */
@@ -143,6 +148,12 @@
     static bool isOffered(const Entry &entry);
     /** Puts the job into its bucket or takes it out, whichever its state asks for. */
     static void refresh(TeamQueue &queue, const Entry &entry);
+    static void block(TeamQueue &queue, const BucketKey &key, Reason reason,
+                      const BlockContext &context);
+    /** Blocks the oldest shapes of the step for as long as they are known to fail. */
+    static void blockKnown(TeamQueue &queue, OrderStep step,
+                           const std::map<Shape, Reason> &failures, const JobId &exempt,
+                           const BlockContext &context);
     static void dropHead(TeamQueue &queue, const Bucket &bucket);
     static void addHead(TeamQueue &queue, const BucketKey &key, const Bucket &bucket);
     static void countPending(TeamShard &shard, const Entry &entry, std::int64_t change);
