--- a/libs/policy/src/placement.cpp
+++ b/libs/policy/src/placement.cpp
@@ -56,6 +56,14 @@
     return dimensions == 0 ? 0.0 : sum / dimensions + imbalanceWeight * (most - least);
 }
 
+/** The same as !firstShortage(), but inlined: this is the innermost loop of a decision. */
+bool hasRoomFor(const Candidate &candidate, const Resources &wanted)
+{
+    return wanted.cpu <= candidate.free.cpu && wanted.memory <= candidate.free.memory
+        && wanted.accelerators <= candidate.free.accelerators
+        && wanted.slots <= candidate.free.slots;
+}
+
 bool mayTake(const Candidate &candidate, const PlacementRequest &request)
 {
     if (request.service != ServiceIndex(0) && request.service != candidate.service) {
@@ -101,7 +109,7 @@
 
 bool fits(const Candidate &candidate, const PlacementRequest &request)
 {
-    return mayTake(candidate, request) && !firstShortage(request.amount, candidate.free);
+    return mayTake(candidate, request) && hasRoomFor(candidate, request.amount);
 }
 
 CandidateChoice chooseCandidate(std::span<const Candidate> candidates,
@@ -112,13 +120,15 @@
     Fit second;
     for (std::size_t index = 0; index < candidates.size(); ++index) {
         const Candidate &candidate = candidates[index];
-        if (!mayTake(candidate, request)) {
+        // Room is the cheaper question and the more frequent answer is no.
+        if (!hasRoomFor(candidate, request.amount)) {
+            choice.anyEligible = choice.anyEligible || mayTake(candidate, request);
             continue;
         }
-        choice.anyEligible = true;
-        if (firstShortage(request.amount, candidate.free)) {
+        if (!mayTake(candidate, request)) {
             continue;
         }
+        choice.anyEligible = true;
         const Fit fit = fitOf(candidate, request);
         if (!choice.best || fit < best) {
             choice.runnerUp = choice.best;
--- a/libs/scheduler/src/fleet_view.cpp
+++ b/libs/scheduler/src/fleet_view.cpp
@@ -71,12 +71,12 @@
         group.emplace_back(candidate, this->names.size());
         this->names.push_back(instance.spec.id);
     }
-    this->addSlices(std::move(plain));
+    this->addSlices(plain);
     this->firstAcceleratorSlice = this->slices.size();
-    this->addSlices(std::move(accelerated));
+    this->addSlices(accelerated);
 }
 
-void FleetView::addSlices(std::vector<std::pair<Candidate, std::size_t>> group)
+void FleetView::addSlices(const std::vector<std::pair<Candidate, std::size_t>> &group)
 {
     if (group.empty()) {
         return;
@@ -90,6 +90,7 @@
     std::size_t next = 0;
     for (const auto &[candidate, name] : group) {
         Slice &slice = *this->slices[first + next % count];
+        this->positions[this->names[name]] = {first + next % count, slice.candidates.size()};
         slice.candidates.push_back(candidate);
         slice.nameIndexes.push_back(name);
         slice.mostFree = mostOf(slice.mostFree, candidate.free);
@@ -97,6 +98,22 @@
     }
 }
 
+void FleetView::refresh(const std::vector<Instance> &changed)
+{
+    for (const Instance &instance : changed) {
+        const auto found = this->positions.find(instance.spec.id);
+        if (found == this->positions.end()) {
+            continue;
+        }
+        Slice &slice = *this->slices[found->second.first];
+        const std::lock_guard lock(slice.mutex);
+        Candidate &candidate = slice.candidates[found->second.second];
+        candidate.free = freeCapacity(instance);
+        slice.exact = false;
+        slice.mostFree = mostOf(slice.mostFree, candidate.free);
+    }
+}
+
 ServiceIndex FleetView::serviceIndex(const std::string &service) const
 {
     const auto found = this->services.find(service);
@@ -165,13 +182,18 @@
         return std::nullopt;
     }
     const CandidateChoice choice = chooseCandidate(slice.candidates, request);
+    if (!choice.best && slice.exact) {
+        return std::nullopt;
+    }
     if (!choice.best) {
+        slice.exact = true;
         slice.mostFree = Resources{};
         for (const Candidate &candidate : slice.candidates) {
             slice.mostFree = mostOf(slice.mostFree, candidate.free);
         }
         return std::nullopt;
     }
+    slice.exact = false;
     Candidate &chosen = slice.candidates[*choice.best];
     chosen.free = subtract(chosen.free, request.amount).value_or(Resources{});
     ViewPlace place{.slice = sliceIndex,
@@ -200,6 +222,7 @@
     Slice &slice = *this->slices[place.slice];
     const std::lock_guard lock(slice.mutex);
     slice.candidates[place.index].free = Resources{};
+    slice.exact = false;
 }
 
 std::uint32_t FleetView::countFits(const PlacementRequest &request, std::uint32_t enough)
