Print the problems of settings one per line

gooseberryleadd wrapped the list of problems into one quoted field of a log line. It now prints the message, which has one line for each problem.

--- a/apps/gooseberryleadd/src/main.cpp
+++ b/apps/gooseberryleadd/src/main.cpp
@@ -58,7 +58,8 @@
         }
         const Result<Settings> settings = readSettings(arguments["settings"].as<std::string>());
         if (!ok(settings)) {
-            std::cerr << describe(errorOf(settings)) << '\n';
+            // The message has a line for each problem, with file, line and column.
+            std::cerr << errorOf(settings).message << '\n';
             return exitUsage;
         }
         if (arguments.count("check") > 0) {
