--- a/libs/scheduler/src/running_table.cpp
+++ b/libs/scheduler/src/running_table.cpp
@@ -144,7 +144,9 @@
     }
     TemplateShard &shard = this->templateShards.at(templateShard(team, jobTemplate));
     const std::lock_guard lock(shard.mutex);
-    addSample(shard.histories[{team, jobTemplate}], sample, this->settings);
+    Learned &learned = shard.learned[{team, jobTemplate}];
+    addSample(learned.history, sample, this->settings);
+    learned.estimate = estimateOf(learned.history, this->settings);
 }
 
 std::optional<TemplateEstimate> RunningTable::estimate(const TeamId &team,
@@ -152,9 +154,8 @@
 {
     const TemplateShard &shard = this->templateShards.at(templateShard(team, jobTemplate));
     const std::lock_guard lock(shard.mutex);
-    const auto found = shard.histories.find({team, jobTemplate});
-    return found == shard.histories.end() ? std::nullopt
-                                          : estimateOf(found->second, this->settings);
+    const auto found = shard.learned.find({team, jobTemplate});
+    return found == shard.learned.end() ? std::nullopt : found->second.estimate;
 }
 
 RunningTable::InstanceShard &RunningTable::instanceShard(const InstanceId &instance)
--- a/libs/scheduler/src/running_table.h
+++ b/libs/scheduler/src/running_table.h
@@ -53,10 +53,16 @@
         std::map<JobId, std::map<AttemptId, InstanceId>> jobs;
     };
     using TemplateKey = std::pair<TeamId, std::string>;
+    struct Learned
+    {
+        TemplateHistory history;
+        /** Kept beside the history, since it is read for each decision. */
+        std::optional<TemplateEstimate> estimate;
+    };
     struct TemplateShard
     {
         mutable std::mutex mutex;
-        std::map<TemplateKey, TemplateHistory> histories;
+        std::map<TemplateKey, Learned> learned;
     };
     static constexpr std::size_t shardCount = 16;
 
