Test the quorum decisions under simulated faults

A simulated cell drives the decisions with an in-memory network, disks and clocks of different rates. After each step a checker looks for a second lease, a second leader of a term, a lost or different committed entry and a term that went back. Seven cases breach one rule each and require that the checker finds it, while the same faults and seed do no harm without the breach.

--- a/cmake/GooseberryTargets.cmake
+++ b/cmake/GooseberryTargets.cmake
@@ -31,7 +31,10 @@
   file(GLOB tests CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/${name}/test/*.cpp)
   if(tests)
     add_executable(gl_${name}_test ${tests})
-    target_compile_definitions(gl_${name}_test PRIVATE BOOST_TEST_DYN_LINK BOOST_TEST_MODULE=${name}
+    # The file that sees the module's name defines main(), so exactly one may see it.
+    list(GET tests 0 first_test)
+    set_property(SOURCE ${first_test} APPEND PROPERTY COMPILE_DEFINITIONS BOOST_TEST_MODULE=${name})
+    target_compile_definitions(gl_${name}_test PRIVATE BOOST_TEST_DYN_LINK
       GL_SOURCE_DIR="${PROJECT_SOURCE_DIR}" GL_BINARY_DIR="${PROJECT_BINARY_DIR}")
     target_include_directories(gl_${name}_test PRIVATE ${CMAKE_CURRENT_SOURCE_DIR}/${name}/src)
     target_link_libraries(gl_${name}_test PRIVATE gl_${name} gl_warnings
--- a/libs/quorum/src/replica_storage.cpp
+++ b/libs/quorum/src/replica_storage.cpp
@@ -23,7 +23,7 @@
 
 } // namespace
 
-ReplicaStorage::ReplicaStorage(std::optional<std::filesystem::path> dataFolder)
+ReplicaStorage::ReplicaStorage(const std::optional<std::filesystem::path> &dataFolder)
     : files(fileSystemFor(dataFolder.has_value()))
     , folder(dataFolder.value_or("memory"))
     , vote(*this->files, this->folder / "vote")
--- a/libs/quorum/src/replica_storage.h
+++ b/libs/quorum/src/replica_storage.h
@@ -30,7 +30,7 @@
 {
 public:
     /** Without a folder everything is kept in memory. */
-    explicit ReplicaStorage(std::optional<std::filesystem::path> dataFolder);
+    explicit ReplicaStorage(const std::optional<std::filesystem::path> &dataFolder);
 
     Result<RecoveredState> recover();
 
--- /dev/null
+++ b/libs/quorum/test/decisions_test.cpp
@@ -0,0 +1,230 @@
+#include <boost/test/unit_test.hpp>
+
+#include "simulated_cell.h"
+
+using namespace gooseberry;
+using std::chrono::milliseconds;
+
+namespace {
+
+FaultRates allFaults()
+{
+    return FaultRates{.drop = 0.05,
+                      .duplicate = 0.05,
+                      .slow = 0.05,
+                      .crash = 0.001,
+                      .pause = 0.001,
+                      .crashLeader = 0.001,
+                      .isolate = 0.001,
+                      .cutLink = 0.002,
+                      .eraseDisk = 0.0005,
+                      .handOver = 0.001,
+                      .snapshot = 0.01};
+}
+
+void requireNoViolation(const SimulatedCell &cell, std::uint64_t seed)
+{
+    BOOST_REQUIRE_MESSAGE(!cell.violation,
+                          "seed " << seed << ": " << cell.violation.value_or(std::string()));
+}
+
+/** Returns the first seed for which the checker finds a violation, 0 when it finds none. */
+std::uint64_t firstViolation(FaultRates rates, RuleBreaches breaches, bool forgetVotes,
+                             std::uint64_t seeds, std::size_t voters = 3)
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        SimulatedCell cell(seed, voters, rates, breaches, forgetVotes);
+        cell.run(milliseconds(20000));
+        if (cell.violation) {
+            BOOST_TEST_MESSAGE("seed " << seed << ": " << *cell.violation);
+            // The breach is the cause only if the same faults do no harm without it.
+            SimulatedCell intact(seed, voters, rates);
+            intact.run(milliseconds(20000));
+            requireNoViolation(intact, seed);
+            return seed;
+        }
+    }
+    return 0;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(DecisionsTest)
+
+// Guards against any order of faults that loses an entry, splits the leadership or ends in a cell
+// that does not recover.
+BOOST_AUTO_TEST_CASE(KeepsAllRulesUnderRandomFaults)
+{
+    std::size_t leaderships = 0;
+    std::size_t repairs = 0;
+    std::size_t installs = 0;
+    std::uint64_t committed = 0;
+    for (std::uint64_t seed = 1; seed <= 16; ++seed) {
+        SimulatedCell cell(seed, seed % 4 == 0 ? 5 : 3, allFaults());
+        cell.run(milliseconds(10000));
+        requireNoViolation(cell, seed);
+        BOOST_TEST(cell.recovers(), "seed " << seed << " does not recover");
+        requireNoViolation(cell, seed);
+        leaderships += cell.leaderships;
+        repairs += cell.repairs;
+        installs += cell.installs;
+        committed += cell.committed().value;
+    }
+    BOOST_TEST_MESSAGE(leaderships << " leaderships, " << repairs << " repairs, " << installs
+                                   << " snapshots installed, " << committed << " committed");
+    // A run that has seen few of the faults shows nothing.
+    BOOST_TEST(leaderships > 100U);
+    BOOST_TEST(repairs > 5U);
+    BOOST_TEST(installs > 20U);
+    BOOST_TEST(committed > 1000U);
+}
+
+// Guards against a leader that is paused beyond its lease and relies on it when it goes on.
+BOOST_AUTO_TEST_CASE(PausedLeaderHasNoLeaseWhenItGoesOn)
+{
+    SimulatedCell cell(1, 3, {});
+    BOOST_REQUIRE(
+        cell.runUntil([&] { return cell.leaseHolder().has_value(); }, milliseconds(3000)));
+    const std::size_t old = *cell.leaseHolder();
+    cell.pause(old, milliseconds(600));
+    BOOST_TEST(cell.runUntil([&] { return cell.leaseHolder() && *cell.leaseHolder() != old; },
+                             milliseconds(599)));
+    cell.run(milliseconds(1000));
+    requireNoViolation(cell, 1);
+    BOOST_TEST((cell.leaseHolder() && *cell.leaseHolder() != old));
+}
+
+// Guards against a replica that can send but not receive, or the reverse, and so unseats a healthy
+// leader again and again or keeps a lease that nobody confirms.
+BOOST_AUTO_TEST_CASE(ReplicaIsolatedInOneDirectionDisturbsNobody)
+{
+    for (const bool sends : {true, false}) {
+        SimulatedCell cell(2, 3, {});
+        BOOST_REQUIRE(
+            cell.runUntil([&] { return cell.leaseHolder().has_value(); }, milliseconds(3000)));
+        const std::size_t leader = *cell.leaseHolder();
+        cell.run(milliseconds(300));
+        cell.isolate((leader + 1) % 3, sends, !sends);
+        const std::size_t before = cell.leaderships;
+        cell.run(milliseconds(2000));
+        requireNoViolation(cell, 2);
+        BOOST_TEST(cell.leaderships == before);
+        cell.isolate((leader + 1) % 3, false, false);
+        cell.isolate(leader, sends, !sends);
+        BOOST_TEST(
+            cell.runUntil([&] { return cell.leaseHolder() && *cell.leaseHolder() != leader; },
+                          milliseconds(2000)));
+        BOOST_TEST(cell.recovers());
+        requireNoViolation(cell, 2);
+    }
+}
+
+// Guards against an empty disk that votes or counts for the state it once had.
+BOOST_AUTO_TEST_CASE(VoterBackWithEmptyDiskDoesNotCount)
+{
+    SimulatedCell cell(3, 3, {});
+    BOOST_REQUIRE(cell.runUntil([&] { return cell.committed().value > 10; }, milliseconds(5000)));
+    const std::size_t leader = *cell.latestLeader();
+    const std::size_t other = (leader + 1) % 3;
+    const std::size_t lost = (leader + 2) % 3;
+    cell.crash(lost);
+    cell.eraseDisk(lost);
+    cell.crash(leader);
+    cell.restart(lost);
+    const LogIndex before = cell.committed();
+    cell.run(milliseconds(3000));
+    requireNoViolation(cell, 3);
+    BOOST_TEST(!cell.counts(lost));
+    BOOST_TEST((cell.committed() == before));
+    BOOST_TEST(!cell.leaseHolder().has_value());
+    cell.restart(leader);
+    BOOST_TEST(
+        cell.runUntil([&] { return cell.counts(lost) && cell.repairs == 1; }, milliseconds(5000)));
+    cell.crash(other);
+    BOOST_TEST(cell.runUntil([&] { return cell.committed().value > before.value + 20; },
+                             milliseconds(5000)));
+}
+
+// Guards against losing entries when a second voter loses its disk right after the first one was
+// repaired: the repaired voter must hold everything by the time it counts.
+BOOST_AUTO_TEST_CASE(SecondDiskLostRightAfterFirstRepair)
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        SimulatedCell cell(seed, 3, {.drop = 0.02, .slow = 0.02, .propose = 0.1});
+        BOOST_REQUIRE(
+            cell.runUntil([&] { return cell.committed().value > 50; }, milliseconds(9000)));
+        for (std::size_t round = 0; round < 4; ++round) {
+            const std::size_t lost = (*cell.latestLeader() + round) % 3;
+            cell.crash(lost);
+            cell.eraseDisk(lost);
+            cell.restart(lost);
+            BOOST_REQUIRE_MESSAGE(
+                cell.runUntil([&] { return cell.repairs == round + 1 && cell.latestLeader(); },
+                              milliseconds(9000)),
+                "seed " << seed << " round " << round << ": "
+                        << cell.violation.value_or("not repaired"));
+        }
+        BOOST_TEST(cell.recovers());
+        requireNoViolation(cell, seed);
+    }
+}
+
+// Guards against a new cell that can't go on after a crash at any moment of its creation.
+BOOST_AUTO_TEST_CASE(CreationSurvivesCrashes)
+{
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        SimulatedCell cell(seed, 3, {.drop = 0.1, .slow = 0.1, .crash = 0.03});
+        cell.run(milliseconds(300));
+        requireNoViolation(cell, seed);
+        BOOST_TEST(cell.recovers(), "seed " << seed << " does not recover");
+        requireNoViolation(cell, seed);
+    }
+}
+
+// The following show that the checker finds the breach of each rule. They guard against a checker
+// that passes everything.
+
+BOOST_AUTO_TEST_CASE(CheckerFindsCommitOfEarlierTermsByCounting)
+{
+    FaultRates rates{
+        .drop = 0.5, .crash = 0.002, .crashLeader = 0.01, .cutLink = 0.01, .propose = 0};
+    BOOST_TEST(firstViolation(rates, {.commitEarlierTermsByCounting = true}, false, 100) != 0U);
+}
+
+BOOST_AUTO_TEST_CASE(CheckerFindsForgottenVote)
+{
+    FaultRates rates{.crashLeader = 0.005, .crashAfterVote = 0.5, .cutLink = 0.01, .propose = 0};
+    BOOST_TEST(firstViolation(rates, {.forgetHeardLeaderOnRestart = true}, true, 40, 5) != 0U);
+}
+
+BOOST_AUTO_TEST_CASE(CheckerFindsLeaseCountedFromReceipt)
+{
+    FaultRates rates{.slow = 0.3, .isolate = 0.001, .cutLink = 0.003};
+    BOOST_TEST(firstViolation(rates, {.leaseFromReceipt = true}, false, 40) != 0U);
+}
+
+BOOST_AUTO_TEST_CASE(CheckerFindsVoteWhileLeaderIsHeard)
+{
+    FaultRates rates{.cutLink = 0.003};
+    BOOST_TEST(firstViolation(rates, {.voteWhileLeaderIsHeard = true}, false, 20) != 0U);
+}
+
+BOOST_AUTO_TEST_CASE(CheckerFindsVoteAfterLostDisk)
+{
+    FaultRates rates{.slow = 0.05, .crash = 0.002, .isolate = 0.001, .eraseDisk = 0.001};
+    BOOST_TEST(firstViolation(rates, {.voteAfterLostDisk = true}, false, 40) != 0U);
+}
+
+BOOST_AUTO_TEST_CASE(CheckerFindsLeaseKeptDuringHandOver)
+{
+    FaultRates rates{.slow = 0.1, .isolate = 0.001, .handOver = 0.01};
+    BOOST_TEST(firstViolation(rates, {.keepLeaseDuringHandOver = true}, false, 20) != 0U);
+}
+
+BOOST_AUTO_TEST_CASE(CheckerFindsHeardLeaderForgottenOnRestart)
+{
+    FaultRates rates{.crash = 0.003, .cutLink = 0.005, .propose = 0.002};
+    BOOST_TEST(firstViolation(rates, {.forgetHeardLeaderOnRestart = true}, false, 40) != 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/libs/quorum/test/simulated_cell.cpp
@@ -0,0 +1,558 @@
+#include "simulated_cell.h"
+
+#include <algorithm>
+
+#include "hand_over.h"
+#include "leader_lease.h"
+#include "membership.h"
+#include "replication.h"
+#include "snapshot_transfer.h"
+
+namespace gooseberry {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::size_t simulatedChunk = 16;
+
+std::uint64_t mix(std::uint64_t chain, const LogEntry &entry)
+{
+    const std::size_t content = std::hash<std::string>{}(entry.payload);
+    return (chain ^ (content + entry.term.value)) * 0x9E3779B97F4A7C15ULL + entry.index.value;
+}
+
+} // namespace
+
+SimulatedCell::SimulatedCell(std::uint64_t seed, std::size_t voters, FaultRates initialRates,
+                             RuleBreaches initialBreaches, bool votersForgetVotes)
+    : rates(initialRates)
+    , breaches(initialBreaches)
+    , forgetVotes(votersForgetVotes)
+    , random(seed)
+    , nodes(voters)
+{
+    for (std::size_t number = 0; number < voters; ++number) {
+        Node &node = this->nodes[number];
+        node.id = InstanceId(std::string(1, static_cast<char>('a' + number)));
+        // Any two clocks differ by less than the drift bound of 1 %.
+        node.clockRate = 0.996 + 0.008 * static_cast<double>(this->below(1000)) / 1000.0;
+        node.disk.vote.disk = DiskId(++this->disksDrawn);
+    }
+    for (Node &node : this->nodes) {
+        this->boot(node);
+    }
+}
+
+void SimulatedCell::boot(Node &node)
+{
+    node.state = {};
+    ProtocolSettings &settings = node.state.settings;
+    settings.self = node.id;
+    settings.disk = node.disk.vote.disk;
+    settings.bootstrap = true;
+    for (const Node &each : this->nodes) {
+        settings.initialMembership.voters.insert(each.id);
+    }
+    settings.heartbeatInterval = milliseconds(20);
+    settings.leaderLease = milliseconds(100);
+    settings.minElectionTimeout = milliseconds(100);
+    settings.maxElectionTimeout = milliseconds(200);
+    settings.breaches = this->breaches;
+    node.state.random.seed(static_cast<std::minstd_rand::result_type>(this->random()));
+    node.state.term = node.disk.vote.term;
+    if (!this->forgetVotes || node.state.term <= Term(1)) {
+        node.state.votedFor = node.disk.vote.votedFor;
+    }
+    node.state.log = node.disk.summary;
+    node.state.snapshot = node.disk.snapshot;
+    node.inbox.clear();
+    node.wanted.clear();
+    node.running = true;
+    node.pausedUntil = milliseconds(0);
+    begin(node.state, this->localTime(node));
+}
+
+void SimulatedCell::run(milliseconds duration)
+{
+    for (const milliseconds end = this->now + duration; this->now < end && !this->violation;) {
+        this->step();
+    }
+}
+
+bool SimulatedCell::runUntil(const std::function<bool()> &condition, milliseconds duration)
+{
+    const milliseconds end = this->now + duration;
+    while (this->now < end && !this->violation && !condition()) {
+        this->step();
+    }
+    return !this->violation && condition();
+}
+
+bool SimulatedCell::recovers()
+{
+    this->rates = FaultRates{.propose = 0};
+    this->cutLinks.clear();
+    for (std::size_t number = 0; number < this->nodes.size(); ++number) {
+        this->isolate(number, false, false);
+        if (!this->nodes[number].running) {
+            this->restart(number);
+        }
+    }
+    const LogIndex target(this->committed().value + 1);
+    return this->runUntil(
+        [&] {
+            if (this->committed() < target && this->now.count() % 50 == 0) {
+                this->propose();
+            }
+            return !this->lostDisk
+                && std::all_of(this->nodes.begin(), this->nodes.end(), [&](const Node &node) {
+                       return node.state.commit >= target && mayVote(node.state);
+                   });
+        },
+        milliseconds(10000));
+}
+
+void SimulatedCell::step()
+{
+    this->now += milliseconds(1);
+    this->injectFaults();
+    if (this->lostDisk && this->now.count() % 16 == 0) {
+        this->repair();
+    }
+    this->deliver();
+    for (Node &node : this->nodes) {
+        if (!node.running && node.restartAt > milliseconds(0) && this->now >= node.restartAt) {
+            this->boot(node);
+        }
+        if (node.running && this->now >= node.pausedUntil
+            && (!node.inbox.empty() || !node.wanted.empty() || node.handOverWanted
+                || this->localTime(node) >= nextTick(node.state))) {
+            this->runBatch(node);
+            this->check(node);
+        }
+    }
+    this->checkLeases();
+}
+
+void SimulatedCell::injectFaults()
+{
+    if (this->chance(this->rates.propose)) {
+        this->propose();
+    }
+    Node &node = this->nodes[this->below(this->nodes.size())];
+    const auto number = static_cast<std::size_t>(&node - this->nodes.data());
+    if (this->chance(this->rates.crash) && node.running) {
+        this->crash(number);
+        node.restartAt = this->now + milliseconds(1 + this->below(this->chance(0.5) ? 20 : 800));
+    }
+    if (const auto leader = this->latestLeader(); leader && this->chance(this->rates.crashLeader)) {
+        this->crash(*leader);
+        this->nodes[*leader].restartAt = this->now + milliseconds(1 + this->below(600));
+    }
+    if (this->chance(this->rates.cutLink)) {
+        const std::size_t other = this->below(this->nodes.size());
+        this->cutLinks[std::minmax(number, other)] = this->now + milliseconds(this->below(600));
+    }
+    if (this->chance(this->rates.pause)) {
+        this->pause(number, milliseconds(this->below(400)));
+    }
+    if (this->chance(this->rates.isolate)) {
+        const std::uint64_t kind = this->below(3);
+        this->isolate(number, kind != 1, kind != 0);
+        node.isolatedUntil = this->now + milliseconds(this->below(800));
+    }
+    if (this->chance(this->rates.eraseDisk) && !this->lostDisk && node.state.term > Term(0)) {
+        this->crash(number);
+        this->eraseDisk(number);
+        node.restartAt = this->now + milliseconds(1 + this->below(100));
+    }
+    node.handOverWanted = node.handOverWanted || this->chance(this->rates.handOver);
+    if (this->chance(this->rates.snapshot) && node.running) {
+        this->takeSnapshot(node);
+    }
+    for (Node &each : this->nodes) {
+        if (each.isolatedUntil > milliseconds(0) && this->now >= each.isolatedUntil) {
+            each.cutSends = each.cutReceives = false;
+            each.isolatedUntil = milliseconds(0);
+        }
+    }
+}
+
+void SimulatedCell::repair()
+{
+    const auto leader = this->latestLeader();
+    const Node &lost = this->nodes[*this->lostDisk];
+    if (!leader || this->now < this->nodes[*leader].pausedUntil) {
+        return;
+    }
+    Node &node = this->nodes[*leader];
+    const Membership &membership = currentMembership(node.state.log);
+    const auto disk = membership.disks.find(lost.id);
+    if (disk != membership.disks.end() && disk->second == lost.disk.vote.disk) {
+        if (node.state.commit >= membershipIndex(node.state.log)) {
+            this->lostDisk.reset();
+            this->repairs += 1;
+        }
+        return;
+    }
+    if (!ok(checkMembershipChange(node.state))) {
+        return;
+    }
+    const Result<Membership> changed = membership.voters.contains(lost.id)
+        ? without(node.state, lost.id)
+        : membership.learners.contains(lost.id) ? withVoter(node.state, lost.id)
+                                                : withLearner(node.state, lost.id);
+    if (ok(changed)) {
+        LogEntry entry;
+        entry.kind = EntryKind::Membership;
+        entry.membership = valueOf(changed);
+        node.wanted.push_back(entry);
+    }
+}
+
+void SimulatedCell::deliver()
+{
+    while (!this->network.empty() && this->network.begin()->first <= this->now) {
+        auto packet = this->network.extract(this->network.begin());
+        Node &node = this->nodes[packet.mapped().to];
+        const auto sender
+            = static_cast<std::size_t>(this->find(packet.mapped().from) - this->nodes.data());
+        if (node.running && !node.cutReceives && !this->isCut(sender, packet.mapped().to)) {
+            node.inbox.emplace_back(packet.mapped().from, std::move(packet.mapped().message));
+        }
+    }
+}
+
+void SimulatedCell::runBatch(Node &node)
+{
+    const SteadyTime local = this->localTime(node);
+    const ReplicaState before = node.state;
+    Effects effects;
+    for (const auto &[from, message] : node.inbox) {
+        receive(node.state, local, from, message, effects);
+    }
+    node.inbox.clear();
+    for (LogEntry &entry : node.wanted) {
+        if (node.state.role == Role::Leader && !node.state.leadership.handOver
+            && (entry.kind == EntryKind::Command || ok(checkMembershipChange(node.state)))) {
+            appendOnLeader(node.state, std::move(entry), effects);
+        }
+    }
+    node.wanted.clear();
+    if (node.handOverWanted) {
+        beginHandOver(node.state, local);
+        node.handOverWanted = false;
+    }
+    tick(node.state, local, effects);
+    finishBatch(node.state, local, effects);
+    if (!this->persist(node, before, effects)) {
+        return;
+    }
+    if (node.running) {
+        entriesStored(node.state);
+    }
+    for (Outgoing &outgoing : effects.messages) {
+        const auto *const vote = std::get_if<VoteReply>(&outgoing.message);
+        if (vote != nullptr && vote->granted && this->chance(this->rates.crashAfterVote)) {
+            node.running = false;
+            node.restartAt = this->now + milliseconds(1);
+        }
+        this->send(node, outgoing);
+    }
+}
+
+/**
+ * Stores the batch. The replica may crash before, within or after that, or once it has sent the
+ * messages; returns whether they are still sent.
+ */
+bool SimulatedCell::persist(Node &node, const ReplicaState &before, Effects &effects)
+{
+    const bool writes = node.state.term != before.term || node.state.votedFor != before.votedFor
+        || effects.install || !effects.entries.empty();
+    const std::uint64_t stages
+        = writes && this->chance(this->rates.crash * 20) ? this->below(5) : 5;
+    Disk &disk = node.disk;
+    if (stages > 0) {
+        disk.vote.term = node.state.term;
+        disk.vote.votedFor = node.state.votedFor;
+    }
+    if (stages > 1 && effects.install) {
+        const IncomingSnapshot &snapshot = *effects.install;
+        this->installs += 1;
+        disk.entries.clear();
+        resetLog(disk.summary, snapshot.lastIndex, snapshot.lastTerm, snapshot.membership);
+        disk.snapshot = {snapshot.lastIndex, snapshot.lastTerm, snapshot.membership};
+        disk.snapshotBytes = snapshot.bytes;
+        const auto expected = this->history.size() < snapshot.lastIndex.value
+            ? std::string()
+            : std::to_string(this->history[snapshot.lastIndex.value - 1].chain);
+        if (snapshot.bytes.substr(0, snapshot.bytes.find(' ')) != expected) {
+            this->violate("a snapshot differs from what was committed");
+        }
+    }
+    if (stages > 2 && !effects.entries.empty()) {
+        this->storeEntries(disk, effects.entries);
+    }
+    if (stages < 5) {
+        node.running = false;
+        node.restartAt = this->now + milliseconds(1 + this->below(this->chance(0.5) ? 20 : 200));
+    }
+    return stages >= 4;
+}
+
+void SimulatedCell::storeEntries(Disk &disk, const std::vector<LogEntry> &entries)
+{
+    for (const LogEntry &entry : entries) {
+        addEntry(disk.summary, entry);
+        disk.entries.resize(entry.index.value - disk.summary.baseIndex.value - 1);
+        disk.entries.push_back(entry);
+    }
+}
+
+void SimulatedCell::takeSnapshot(Node &node)
+{
+    const LogIndex index = node.state.commit;
+    if (index <= node.state.snapshot.lastIndex || !termAt(node.state.log, index)
+        || this->history.size() < index.value) {
+        return;
+    }
+    node.state.snapshot
+        = {index, *termAt(node.state.log, index), membershipAt(node.state.log, index)};
+    node.disk.snapshot = node.state.snapshot;
+    node.disk.snapshotBytes
+        = std::to_string(this->history[index.value - 1].chain) + " " + std::string(40, 'x');
+    // Cutting up to the snapshot, whatever followers lack, exercises the transfer more often.
+    const std::uint64_t removed = index.value - node.state.log.baseIndex.value;
+    compactLog(node.state.log, index);
+    compactLog(node.disk.summary, index);
+    node.disk.entries.erase(node.disk.entries.begin(),
+                            node.disk.entries.begin() + static_cast<std::ptrdiff_t>(removed));
+}
+
+bool SimulatedCell::fill(Node &node, Outgoing &outgoing)
+{
+    if (auto *const append = std::get_if<Append>(&outgoing.message)) {
+        // Few entries at a time, so that followers often hold a part of what they lack.
+        const std::uint64_t most = 1 + this->below(3);
+        const std::uint64_t base = node.disk.summary.baseIndex.value;
+        for (std::uint64_t index = append->prevIndex.value + 1; index <= outgoing.lastEntry.value;
+             ++index) {
+            if (append->entries.size() == most) {
+                noteLastSent(node.state, outgoing.to, LogIndex(index - 1));
+                break;
+            }
+            append->entries.push_back(node.disk.entries.at(index - base - 1));
+        }
+    } else if (auto *const part = std::get_if<InstallSnapshot>(&outgoing.message)) {
+        const std::string &bytes = node.disk.snapshotBytes;
+        if (part->offset > bytes.size()) {
+            return false;
+        }
+        part->chunk = bytes.substr(part->offset, simulatedChunk);
+        part->last = part->offset + part->chunk.size() == bytes.size();
+    }
+    return true;
+}
+
+void SimulatedCell::send(Node &node, Outgoing &outgoing)
+{
+    Node *const receiver = this->find(outgoing.to);
+    if (!this->fill(node, outgoing) || receiver == nullptr || node.cutSends) {
+        return;
+    }
+    const int copies
+        = (this->chance(this->rates.drop) ? 0 : 1) + (this->chance(this->rates.duplicate) ? 1 : 0);
+    for (int copy = 0; copy < copies; ++copy) {
+        const milliseconds delay(1 + this->below(this->chance(this->rates.slow) ? 150 : 4));
+        this->network.emplace(this->now + delay,
+                              Packet{.to = static_cast<std::size_t>(receiver - this->nodes.data()),
+                                     .from = node.id,
+                                     .message = outgoing.message});
+    }
+}
+
+void SimulatedCell::check(Node &node)
+{
+    if (!node.running) {
+        return;
+    }
+    const ReplicaState &state = node.state;
+    if (state.term < node.checkedTerm) {
+        this->violate("the term of " + node.id.value + " went back");
+    }
+    node.checkedTerm = state.term;
+    if (state.role == Role::Leader) {
+        const auto [entry, added] = this->leaders.emplace(state.term, node.id);
+        this->leaderships += added ? 1 : 0;
+        if (entry->second != node.id) {
+            this->violate("two leaders in term " + std::to_string(state.term.value));
+        }
+    }
+    LogIndex index = std::max(state.log.baseIndex, node.checkedCommit);
+    while (index < state.commit) {
+        index = LogIndex(index.value + 1);
+        const std::size_t position = index.value - node.disk.summary.baseIndex.value - 1;
+        if (position >= node.disk.entries.size()) {
+            this->violate("committed entry " + std::to_string(index.value) + " is not stored");
+            return;
+        }
+        const LogEntry &entry = node.disk.entries[position];
+        const std::uint64_t chain = this->history.empty() ? 0 : this->history.back().chain;
+        if (index.value == this->history.size() + 1) {
+            this->history.push_back({entry.term, entry.payload, mix(chain, entry)});
+        } else if (index.value > this->history.size()
+                   || this->history[index.value - 1].term != entry.term
+                   || this->history[index.value - 1].payload != entry.payload) {
+            this->violate("committed entry " + std::to_string(index.value) + " differs on "
+                          + node.id.value);
+            return;
+        }
+    }
+    node.checkedCommit = std::max(node.checkedCommit, state.commit);
+}
+
+void SimulatedCell::checkLeases()
+{
+    std::string holders;
+    for (const Node &node : this->nodes) {
+        // Also of a paused replica, which would rely on its lease when it goes on.
+        const auto end = leaseEnd(node.state, this->localTime(node));
+        if (node.running && end && this->localTime(node) < *end) {
+            holders += node.id.value;
+        }
+    }
+    if (holders.size() > 1) {
+        this->violate("two leases at once: " + holders);
+    }
+}
+
+void SimulatedCell::violate(const std::string &what)
+{
+    if (!this->violation) {
+        this->violation = what + " at " + std::to_string(this->now.count()) + " ms";
+    }
+}
+
+void SimulatedCell::crash(std::size_t number)
+{
+    this->nodes[number].running = false;
+    this->nodes[number].restartAt = milliseconds(0);
+}
+
+void SimulatedCell::restart(std::size_t number)
+{
+    this->boot(this->nodes[number]);
+}
+
+void SimulatedCell::eraseDisk(std::size_t number)
+{
+    Node &node = this->nodes[number];
+    node.disk = {};
+    node.disk.vote.disk = DiskId(++this->disksDrawn);
+    node.checkedTerm = Term(0);
+    node.checkedCommit = LogIndex(0);
+    this->lostDisk = number;
+}
+
+void SimulatedCell::isolate(std::size_t number, bool sends, bool receives)
+{
+    this->nodes[number].cutSends = sends;
+    this->nodes[number].cutReceives = receives;
+    this->nodes[number].isolatedUntil = milliseconds(0);
+}
+
+void SimulatedCell::pause(std::size_t number, milliseconds duration)
+{
+    this->nodes[number].pausedUntil = this->now + duration;
+}
+
+std::optional<std::size_t> SimulatedCell::leaseHolder() const
+{
+    for (std::size_t number = 0; number < this->nodes.size(); ++number) {
+        const Node &node = this->nodes[number];
+        const auto end = leaseEnd(node.state, this->localTime(node));
+        if (node.running && end && this->localTime(node) < *end) {
+            return number;
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<std::size_t> SimulatedCell::latestLeader() const
+{
+    std::optional<std::size_t> latest;
+    for (std::size_t number = 0; number < this->nodes.size(); ++number) {
+        const Node &node = this->nodes[number];
+        if (node.running && node.state.role == Role::Leader
+            && (!latest || node.state.term > this->nodes[*latest].state.term)) {
+            latest = number;
+        }
+    }
+    return latest;
+}
+
+bool SimulatedCell::propose()
+{
+    // To any leader, also one that has been superseded without knowing it.
+    std::vector<Node *> leading;
+    for (Node &node : this->nodes) {
+        if (node.running && node.state.role == Role::Leader) {
+            leading.push_back(&node);
+        }
+    }
+    if (leading.empty()) {
+        return false;
+    }
+    LogEntry entry;
+    entry.payload = "command " + std::to_string(++this->proposals);
+    leading[this->below(leading.size())]->wanted.push_back(entry);
+    return true;
+}
+
+LogIndex SimulatedCell::committed() const
+{
+    return LogIndex(this->history.size());
+}
+
+LogIndex SimulatedCell::commitOf(std::size_t number) const
+{
+    return this->nodes[number].state.commit;
+}
+
+bool SimulatedCell::counts(std::size_t number) const
+{
+    return mayVote(this->nodes[number].state);
+}
+
+SteadyTime SimulatedCell::localTime(const Node &node) const
+{
+    return SteadyTime(std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double, std::milli>(this->now) * node.clockRate));
+}
+
+bool SimulatedCell::isCut(std::size_t one, std::size_t other) const
+{
+    const auto found = this->cutLinks.find(std::minmax(one, other));
+    return found != this->cutLinks.end() && this->now < found->second;
+}
+
+bool SimulatedCell::chance(double probability)
+{
+    return probability > 0
+        && std::uniform_real_distribution<double>(0, 1)(this->random) < probability;
+}
+
+std::uint64_t SimulatedCell::below(std::uint64_t limit)
+{
+    return limit == 0 ? 0 : this->random() % limit;
+}
+
+SimulatedCell::Node *SimulatedCell::find(const InstanceId &id)
+{
+    const auto found = std::find_if(this->nodes.begin(), this->nodes.end(),
+                                    [&](const Node &node) { return node.id == id; });
+    return found == this->nodes.end() ? nullptr : &*found;
+}
+
+} // namespace gooseberry
--- /dev/null
+++ b/libs/quorum/test/simulated_cell.h
@@ -0,0 +1,150 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "entry_codec.h"
+#include "protocol.h"
+#include "replica_state.h"
+
+namespace gooseberry {
+
+/** How often each kind of fault occurs, as probabilities for each step of one millisecond. */
+struct FaultRates
+{
+    double drop = 0; ///< For each message.
+    double duplicate = 0; ///< For each message.
+    double slow = 0; ///< For each message: delayed by up to 150 ms, so also reordered.
+    double crash = 0;
+    double pause = 0;
+    double crashLeader = 0; ///< Of the leader of the highest term.
+    double crashAfterVote = 0; ///< For each granted vote, right after it was sent.
+    double isolate = 0;
+    double cutLink = 0; ///< Cuts two replicas from each other while both reach the others.
+    double eraseDisk = 0; ///< Only while no other voter waits for its repair.
+    double handOver = 0;
+    double snapshot = 0;
+    double propose = 0.05;
+};
+
+/**
+ * Replicas that are driven by the decisions alone, with an in-memory network, disks and clocks that
+ * run at different rates. A run depends only on its seed. After each step the checker looks for a
+ * second lease, a second leader of a term, a lost or different committed entry, and a term that
+ * went back.
+ */
+class SimulatedCell
+{
+public:
+    SimulatedCell(std::uint64_t seed, std::size_t voters, FaultRates initialRates,
+                  RuleBreaches initialBreaches = {}, bool votersForgetVotes = false);
+
+    /** Runs steps of one millisecond until the time is up or a rule is violated. */
+    void run(std::chrono::milliseconds duration);
+    /** Runs until the condition holds; returns whether it did within the duration. */
+    bool runUntil(const std::function<bool()> &condition, std::chrono::milliseconds duration);
+    /** Ends all faults and returns whether a new command commits on all voters. */
+    bool recovers();
+
+    void crash(std::size_t number);
+    void restart(std::size_t number);
+    void eraseDisk(std::size_t number);
+    /** Cuts what the replica sends, receives, or both. */
+    void isolate(std::size_t number, bool sends, bool receives);
+    void pause(std::size_t number, std::chrono::milliseconds duration);
+
+    std::optional<std::size_t> leaseHolder() const;
+    /** Returns the leader of the highest term, with or without lease. */
+    std::optional<std::size_t> latestLeader() const;
+    bool propose();
+    LogIndex committed() const;
+    LogIndex commitOf(std::size_t number) const;
+    bool counts(std::size_t number) const;
+
+    std::optional<std::string> violation;
+    std::size_t leaderships = 0;
+    std::size_t repairs = 0;
+    std::size_t installs = 0;
+
+private:
+    struct Disk
+    {
+        StoredVote vote;
+        std::vector<LogEntry> entries;
+        LogSummary summary;
+        SnapshotInfo snapshot;
+        std::string snapshotBytes;
+    };
+    struct Node
+    {
+        InstanceId id;
+        Disk disk;
+        ReplicaState state;
+        std::vector<std::pair<InstanceId, QuorumMessage>> inbox;
+        bool running = false;
+        double clockRate = 1.0;
+        std::chrono::milliseconds pausedUntil{0};
+        std::chrono::milliseconds restartAt{0};
+        std::chrono::milliseconds isolatedUntil{0};
+        bool cutSends = false;
+        bool cutReceives = false;
+        LogIndex checkedCommit;
+        Term checkedTerm;
+        bool handOverWanted = false;
+        std::vector<LogEntry> wanted; ///< Proposals for the next batch.
+    };
+    struct Packet
+    {
+        std::size_t to = 0;
+        InstanceId from;
+        QuorumMessage message;
+    };
+    struct Committed
+    {
+        Term term;
+        std::string payload;
+        std::uint64_t chain = 0; ///< Hash over all entries up to this one.
+    };
+
+    void step();
+    void injectFaults();
+    void repair();
+    void deliver();
+    void runBatch(Node &node);
+    bool isCut(std::size_t one, std::size_t other) const;
+    bool persist(Node &node, const ReplicaState &before, Effects &effects);
+    void storeEntries(Disk &disk, const std::vector<LogEntry> &entries);
+    void takeSnapshot(Node &node);
+    void send(Node &node, Outgoing &outgoing);
+    bool fill(Node &node, Outgoing &outgoing);
+    void boot(Node &node);
+    void check(Node &node);
+    void checkLeases();
+    void violate(const std::string &what);
+    SteadyTime localTime(const Node &node) const;
+    bool chance(double probability);
+    std::uint64_t below(std::uint64_t limit);
+    Node *find(const InstanceId &id);
+
+    FaultRates rates;
+    RuleBreaches breaches;
+    bool forgetVotes;
+    std::mt19937_64 random;
+    std::chrono::milliseconds now{1000};
+    std::vector<Node> nodes;
+    std::multimap<std::chrono::milliseconds, Packet> network;
+    std::vector<Committed> history; ///< Entry i of the log at i - 1.
+    std::map<Term, InstanceId> leaders;
+    /** Until when two replicas, the lower number first, are cut from each other. */
+    std::map<std::pair<std::size_t, std::size_t>, std::chrono::milliseconds> cutLinks;
+    std::uint64_t proposals = 0;
+    std::uint64_t disksDrawn = 0;
+    std::optional<std::size_t> lostDisk;
+};
+
+} // namespace gooseberry
