Let a voter vote for candidates that name its data folder

PreVote and Vote now carry the data folder that the candidate's log names for the receiver, and that decides. An empty first voter can then vote for the creator of its cell, so the rule that the first term may be led again after a crash is gone.

--- /dev/null
+++ b/libs/quorum/bench/quorum_bench.cpp
@@ -0,0 +1,168 @@
+// Measures commits, the time without a leader and restarts with real threads, folders and syncs.
+// All figures of a table come from one run on one machine; compare them with each other only.
+
+#include <quorum/quorum.h>
+
+#include <algorithm>
+#include <atomic>
+#include <cstdio>
+#include <functional>
+#include <future>
+#include <thread>
+
+#include "../test/in_process_cell.h"
+
+using namespace gooseberry;
+
+namespace {
+
+using Seconds = std::chrono::duration<double>;
+using BenchClock = std::chrono::steady_clock;
+
+double secondsSince(BenchClock::time_point begin)
+{
+    return Seconds(BenchClock::now() - begin).count();
+}
+
+double quantile(std::vector<double> values, double fraction)
+{
+    std::sort(values.begin(), values.end());
+    const auto last = static_cast<double>(values.size() - 1);
+    return values.at(static_cast<std::size_t>(fraction * last));
+}
+
+void printLatencies(const char *name, const std::vector<double> &seconds)
+{
+    std::printf("%-44s p50 %9.3f ms   p99 %9.3f ms   n %zu\n", name, quantile(seconds, 0.5) * 1000,
+                quantile(seconds, 0.99) * 1000, seconds.size());
+}
+
+void ignoreFailure(const Error & /*error*/)
+{
+}
+
+/** Commits a second with many proposals under way. */
+double throughput(std::size_t maxBatch, int count)
+{
+    InProcessCell cell({"a", "b", "c"});
+    cell.defaults.maxBatch = maxBatch;
+    cell.startAll();
+    const auto leader = cell.node(cell.waitForLeader());
+    const std::string payload(120, 'x');
+    const auto begin = BenchClock::now();
+    for (int number = 0; number < count; ++number) {
+        leader->replica->propose(payload, ignoreFailure);
+    }
+    leader->machine.waitForCommands(static_cast<std::size_t>(count));
+    return count / secondsSince(begin);
+}
+
+/** The time from one proposal to its application, one at a time. */
+std::vector<double> latencies(Replica &replica, RecordingMachine &machine, int count)
+{
+    std::vector<double> seconds;
+    const std::string payload(120, 'x');
+    for (int number = 1; number <= count; ++number) {
+        const auto begin = BenchClock::now();
+        replica.propose(payload, ignoreFailure);
+        machine.waitForCommands(static_cast<std::size_t>(number));
+        seconds.push_back(secondsSince(begin));
+    }
+    return seconds;
+}
+
+void measureLatencies()
+{
+    constexpr int count = 500;
+    InProcessCell memory({"only"});
+    InProcessCell::Node transport;
+    ReplicaSettings settings;
+    settings.self = InstanceId("only");
+    Replica replica(settings, transport.machine, transport, memory.clock);
+    replica.start();
+    printLatencies("commit, lone replica in memory", latencies(replica, transport.machine, count));
+    replica.stop();
+    InProcessCell lone({"only"});
+    lone.startAll();
+    const auto disk = lone.node(lone.waitForLeader());
+    printLatencies("commit, lone replica on disk (adds one sync)",
+                   latencies(*disk->replica, disk->machine, count));
+    InProcessCell three({"a", "b", "c"});
+    three.startAll();
+    const auto leader = three.node(three.waitForLeader());
+    printLatencies("commit, three replicas (two syncs in turn)",
+                   latencies(*leader->replica, leader->machine, count));
+}
+
+/** From the kill of the leader until another replica holds the lease and has begun to lead. */
+std::vector<double> timesWithoutLeader(int kills)
+{
+    InProcessCell cell({"a", "b", "c"});
+    cell.startAll();
+    std::vector<double> seconds;
+    for (int kill = 0; kill < kills; ++kill) {
+        const std::string leader = cell.waitForLeader();
+        // All replicas are up to date and hear the leader when it is killed.
+        std::this_thread::sleep_for(2 * cell.defaults.heartbeatInterval);
+        const auto begin = BenchClock::now();
+        cell.stop(leader);
+        if (cell.waitForLeader().empty()) {
+            std::printf("no leader after kill %d\n", kill);
+            return seconds;
+        }
+        seconds.push_back(secondsSince(begin));
+        cell.start(leader);
+    }
+    return seconds;
+}
+
+/** From the start of a lone replica until it has applied all and leads. */
+double restartSeconds(int entries, bool snapshot)
+{
+    InProcessCell cell({"only"});
+    const std::string payload(120, 'x');
+    const Bytes whole = cell.defaults.snapshotInterval;
+    if (snapshot) {
+        // One snapshot falls due with the last tenth of the entries still to come.
+        cell.defaults.snapshotInterval = Bytes(entries * 152LL * 9 / 10);
+    }
+    cell.startAll();
+    const auto node = cell.node(cell.waitForLeader());
+    for (int number = 0; number < entries; ++number) {
+        node->replica->propose(payload, ignoreFailure);
+    }
+    node->machine.waitForCommands(static_cast<std::size_t>(entries));
+    cell.stopAll();
+    cell.defaults.snapshotInterval = whole;
+    const auto begin = BenchClock::now();
+    cell.startAll();
+    cell.node(cell.waitForLeader())->machine.waitForCommands(static_cast<std::size_t>(entries));
+    return secondsSince(begin);
+}
+
+void printRestart(const char *name, int entries, bool snapshot)
+{
+    std::vector<double> seconds;
+    for (int run = 0; run < 9; ++run) {
+        seconds.push_back(restartSeconds(entries, snapshot));
+    }
+    printLatencies(name, seconds);
+}
+
+} // namespace
+
+int main()
+{
+    const double single = throughput(1, 2000);
+    const double grouped = throughput(ReplicaSettings().maxBatch, 50000);
+    std::printf("%-44s %9.0f a second\n", "commits without group commit", single);
+    std::printf("%-44s %9.0f a second   ratio %.1f\n", "commits with group commit", grouped,
+                grouped / single);
+    measureLatencies();
+    printRestart("restart with 500 entries", 500, false);
+    printRestart("restart with 500 entries and a snapshot", 500, true);
+    printRestart("restart with 10,000 entries", 10000, false);
+    printRestart("restart with 10,000 entries and a snapshot", 10000, true);
+    printLatencies("without a leader after a kill", timesWithoutLeader(50));
+    return 0;
+}
--- a/libs/quorum/include/quorum/messages.h
+++ b/libs/quorum/include/quorum/messages.h
@@ -54,6 +54,8 @@
     Term term;
     LogIndex lastIndex;
     Term lastTerm;
+    /** The data folder that makes the receiver a voter, as the sender's log has it. */
+    DiskId disk;
 
     bool operator==(const PreVote &other) const = default;
 };
@@ -78,6 +80,8 @@
     Term lastTerm;
     /** Set during a planned hand-over: voters then ignore the lease of the old leader. */
     bool handOver = false;
+    /** The data folder that makes the receiver a voter, as the sender's log has it. */
+    DiskId disk;
 
     bool operator==(const Vote &other) const = default;
 };
--- a/libs/quorum/include/quorum/replica.h
+++ b/libs/quorum/include/quorum/replica.h
@@ -16,10 +16,13 @@
  *
  * A new cell: give all first voters the same initialMembership and bootstrap. The first of them by
  * name creates the cell once all the others have answered that they have no log, so all must run
- * once at the same time. Bootstrap has no effect on a data folder that is in use.
+ * once at the same time. Bootstrap has no effect on a data folder that is in use. If the first
+ * voter loses its disk before any command was committed, the others may wait without a leader;
+ * then empty all data folders and begin again.
  *
  * A voter that has lost its disk: start it with an empty data folder. It neither votes nor counts
- * in a quorum, also with bootstrap, since the membership names the data folder that it had. The
+ * in a quorum, also with bootstrap, since the membership names the data folder that it had, and no
+ * new cell is created while any first voter answers that it has a log. The
  * operator calls, on the leader and each after the one before is done, remove(), addLearner() and,
  * when it has caught up, promoteLearner(). Until then one more voter fewer can be lost. A removed
  * replica is not told so; stop it.
--- a/libs/quorum/src/bootstrap.cpp
+++ b/libs/quorum/src/bootstrap.cpp
@@ -65,10 +65,4 @@
     }
 }
 
-bool resumesFirstTerm(const ReplicaState &state)
-{
-    return state.term == Term(1) && state.votedFor == state.settings.self
-        && state.commit == LogIndex(0) && mayVote(state);
-}
-
 } // namespace gooseberry
--- a/libs/quorum/src/bootstrap.h
+++ b/libs/quorum/src/bootstrap.h
@@ -19,12 +19,4 @@
 void noteReadiness(ReplicaState &state, SteadyTime now, const InstanceId &from,
                    const PreVoteReply &message, Effects &effects);
 
-/**
- * Returns whether the creator must lead again in the first term after a crash: the others can't
- * vote before they know the membership. Nobody else can lead in that term. It holds no lease then,
- * since a hand-over may have been signalled before the crash, and stops leading when a majority
- * knows the membership.
- */
-bool resumesFirstTerm(const ReplicaState &state);
-
 } // namespace gooseberry
--- a/libs/quorum/src/commit_rule.cpp
+++ b/libs/quorum/src/commit_rule.cpp
@@ -5,24 +5,6 @@
 
 namespace gooseberry {
 
-namespace {
-
-/**
- * Returns whether all voters know the first membership. Before that, the others could not elect a
- * leader without the creator of the cell, so nothing is committed that they might need.
- */
-bool allKnowFirstMembership(const ReplicaState &state)
-{
-    for (const auto &[id, peer] : state.leadership.peers) {
-        if (currentMembership(state.log).voters.contains(id) && peer.match < LogIndex(1)) {
-            return false;
-        }
-    }
-    return true;
-}
-
-} // namespace
-
 LogIndex majorityStored(const ReplicaState &state)
 {
     const Membership &membership = currentMembership(state.log);
@@ -45,9 +27,6 @@
 
 void advanceCommit(ReplicaState &state)
 {
-    if (state.term == Term(1) && state.commit == LogIndex(0) && !allKnowFirstMembership(state)) {
-        return;
-    }
     const LogIndex index = majorityStored(state);
     if (index > state.commit
         && (termAt(state.log, index) == state.term
--- a/libs/quorum/src/election.cpp
+++ b/libs/quorum/src/election.cpp
@@ -23,10 +23,14 @@
     return granted >= quorumSize(membership);
 }
 
-void askVoters(const ReplicaState &state, const QuorumMessage &message, Effects &effects)
+template<typename Message>
+void askVoters(const ReplicaState &state, Message message, Effects &effects)
 {
-    for (const InstanceId &voter : currentMembership(state.log).voters) {
-        if (voter != state.settings.self) {
+    const Membership &membership = currentMembership(state.log);
+    for (const InstanceId &voter : membership.voters) {
+        if (const auto disk = membership.disks.find(voter);
+            voter != state.settings.self && disk != membership.disks.end()) {
+            message.disk = disk->second;
             effects.messages.push_back({.to = voter, .message = message, .lastEntry = {}});
         }
     }
@@ -89,7 +93,8 @@
     askVoters(state,
               PreVote{.term = Term(state.term.value + 1),
                       .lastIndex = state.log.last,
-                      .lastTerm = lastTerm(state.log)},
+                      .lastTerm = lastTerm(state.log),
+                      .disk = {}},
               effects);
 }
 
@@ -111,7 +116,8 @@
               Vote{.term = state.term,
                    .lastIndex = state.log.last,
                    .lastTerm = lastTerm(state.log),
-                   .handOver = handOver},
+                   .handOver = handOver,
+                   .disk = {}},
               effects);
 }
 
@@ -121,7 +127,8 @@
     PreVoteReply reply{.term = state.term, .granted = false, .disk = state.settings.disk};
     if (message.term == Term(0)) {
         reply.granted = readyForNewCell(state);
-    } else if (mayVote(state) && message.term > state.term && !hearsLeader(state, now)
+    } else if (isVoterFor(state, message.disk) && message.term > state.term
+               && !hearsLeader(state, now)
                && isUpToDate(message.lastIndex, message.lastTerm, state.log)) {
         reply.granted = true;
         reply.term = message.term;
@@ -151,7 +158,8 @@
 void handle(ReplicaState &state, SteadyTime now, const InstanceId &from, const Vote &message,
             Effects &effects)
 {
-    const bool allowed = mayVote(state) && (message.handOver || !hearsLeader(state, now));
+    const bool allowed
+        = isVoterFor(state, message.disk) && (message.handOver || !hearsLeader(state, now));
     if (allowed && message.term > state.term) {
         becomeFollower(state, now, message.term, std::nullopt);
     }
--- a/libs/quorum/src/leader_lease.cpp
+++ b/libs/quorum/src/leader_lease.cpp
@@ -30,7 +30,7 @@
 std::optional<SteadyTime> leaseEnd(const ReplicaState &state, SteadyTime now)
 {
     const Leadership &leadership = state.leadership;
-    if (state.role != Role::Leader || leadership.resumed
+    if (state.role != Role::Leader
         || (leadership.handOver && leadership.handOver->signalled
             && !state.settings.breaches.keepLeaseDuringHandOver)) {
         return std::nullopt;
--- a/libs/quorum/src/protocol.cpp
+++ b/libs/quorum/src/protocol.cpp
@@ -23,9 +23,7 @@
 void tickLeader(ReplicaState &state, SteadyTime now, Effects &effects)
 {
     const SteadyTime answered = std::max(state.leadership.beganAt, quorumAnsweredAt(state, now));
-    const bool resumedDone = state.leadership.resumed && state.commit >= state.leadership.noOp;
-    if (isRemovedLeader(state) || resumedDone
-        || now >= answered + state.settings.maxElectionTimeout) {
+    if (isRemovedLeader(state) || now >= answered + state.settings.maxElectionTimeout) {
         becomeFollower(state, now, state.term, std::nullopt);
         return;
     }
@@ -42,7 +40,7 @@
         state.leaderHeardAt = now;
     }
     resetElectionDeadline(state, now);
-    if (createsNewCell(state) || isLoneVoter(state) || resumesFirstTerm(state)) {
+    if (createsNewCell(state) || isLoneVoter(state)) {
         state.electionDeadline = now;
     }
 }
@@ -62,9 +60,6 @@
             askForReadiness(state, now, effects);
         } else if (isLoneVoter(state)) {
             startElection(state, now, false, effects);
-        } else if (resumesFirstTerm(state)) {
-            becomeLeader(state, now, effects);
-            state.leadership.resumed = true;
         } else if (mayVote(state)) {
             startPreVote(state, now, effects);
         } else {
--- a/libs/quorum/src/replica_batch.cpp
+++ b/libs/quorum/src/replica_batch.cpp
@@ -110,7 +110,7 @@
 {
     Error error = this->unavailable("this replica does not lead", Outcome::NotRun);
     error.code = ErrorCode::NotLeader;
-    const bool leads = this->state.role == Role::Leader && !this->state.leadership.resumed;
+    const bool leads = this->state.role == Role::Leader;
     if (leads && this->state.leadership.handOver) {
         error = this->unavailable("leadership is being handed over", Outcome::NotRun);
     } else if (leads && this->storageFull && this->now < this->fullUntil) {
@@ -309,7 +309,7 @@
 
 void Replica::Impl::updateApplyLoop()
 {
-    const bool leads = this->state.role == Role::Leader && !this->state.leadership.resumed;
+    const bool leads = this->state.role == Role::Leader;
     const auto led = leads
         ? std::optional(LedTerm{.term = this->state.term, .noOp = this->state.leadership.noOp})
         : std::nullopt;
--- a/libs/quorum/src/replica_state.cpp
+++ b/libs/quorum/src/replica_state.cpp
@@ -22,6 +22,11 @@
         || state.settings.breaches.voteAfterLostDisk;
 }
 
+bool isVoterFor(const ReplicaState &state, DiskId namedByCandidate)
+{
+    return namedByCandidate == state.settings.disk || state.settings.breaches.voteAfterLostDisk;
+}
+
 bool countsInQuorum(const ReplicaState &state, const InstanceId &id)
 {
     if (id == state.settings.self) {
--- a/libs/quorum/src/replica_state.h
+++ b/libs/quorum/src/replica_state.h
@@ -90,8 +90,6 @@
     std::map<InstanceId, Progress> peers;
     SteadyTime beganAt;
     LogIndex noOp;
-    /** Leads the first term again only to hand out the membership; holds no lease. */
-    bool resumed = false;
     std::uint64_t round = 0;
     std::map<std::uint64_t, SteadyTime> roundSentAt;
     SteadyTime nextHeartbeat;
@@ -154,10 +152,16 @@
 void storeEntry(ReplicaState &state, LogEntry entry, Effects &effects);
 
 /**
- * Returns whether this replica may vote and lead: it is a voter, and its data folder is the one it
- * had when it became a voter.
+ * Returns whether this replica may lead and votes for itself: it is a voter, and its data folder is
+ * the one it had when it became a voter.
  */
 bool mayVote(const ReplicaState &state);
+/**
+ * Returns whether this replica may vote for a candidate whose log names this data folder. What the
+ * own log says does not matter: a new voter may not have its promotion yet, and the candidate
+ * may need its vote to send it.
+ */
+bool isVoterFor(const ReplicaState &state, DiskId namedByCandidate);
 /** Returns whether the other replica counts in quorums, as far as this leader knows. */
 bool countsInQuorum(const ReplicaState &state, const InstanceId &id);
 /** Returns how many voters decide. */
--- a/libs/quorum/test/decisions_test.cpp
+++ b/libs/quorum/test/decisions_test.cpp
@@ -15,6 +15,9 @@
                       .crash = 0.001,
                       .pause = 0.001,
                       .crashLeader = 0.001,
+                      .crashAfterVote = 0.02,
+                      .crashAfterCommit = 0.002,
+                      .blink = 0.001,
                       .isolate = 0.001,
                       .cutLink = 0.002,
                       .eraseDisk = 0.0005,
@@ -169,6 +172,25 @@
     }
 }
 
+// Guards against a cell without a leader when the leader is the only one left that has stored the
+// promotion of a learner: the learner must vote for it without having the promotion itself.
+BOOST_AUTO_TEST_CASE(PromotedLearnerVotesBeforeItHasThePromotion)
+{
+    ReplicaState learner;
+    learner.settings.self = InstanceId("b");
+    learner.settings.disk = DiskId(7);
+    Effects effects;
+    receive(learner, SteadyTime(milliseconds(1000)), InstanceId("a"),
+            Vote{.term = Term(2), .lastIndex = LogIndex(9), .lastTerm = Term(1), .disk = DiskId(7)},
+            effects);
+    receive(learner, SteadyTime(milliseconds(2000)), InstanceId("c"),
+            Vote{.term = Term(3), .lastIndex = LogIndex(9), .lastTerm = Term(1), .disk = DiskId(6)},
+            effects);
+    BOOST_REQUIRE(effects.messages.size() == 2U);
+    BOOST_TEST(std::get<VoteReply>(effects.messages[0].message).granted);
+    BOOST_TEST(!std::get<VoteReply>(effects.messages[1].message).granted);
+}
+
 // Guards against a new cell that can't go on after a crash at any moment of its creation.
 BOOST_AUTO_TEST_CASE(CreationSurvivesCrashes)
 {
@@ -187,7 +209,7 @@
 BOOST_AUTO_TEST_CASE(CheckerFindsCommitOfEarlierTermsByCounting)
 {
     FaultRates rates{
-        .drop = 0.5, .crash = 0.002, .crashLeader = 0.01, .cutLink = 0.01, .propose = 0};
+        .drop = 0.1, .crash = 0.002, .crashLeader = 0.02, .crashAfterCommit = 0.6, .propose = 0};
     BOOST_TEST(firstViolation(rates, {.commitEarlierTermsByCounting = true}, false, 100) != 0U);
 }
 
@@ -223,7 +245,7 @@
 
 BOOST_AUTO_TEST_CASE(CheckerFindsHeardLeaderForgottenOnRestart)
 {
-    FaultRates rates{.crash = 0.003, .cutLink = 0.005, .propose = 0.002};
+    FaultRates rates{.blink = 0.01, .cutLink = 0.005, .propose = 0};
     BOOST_TEST(firstViolation(rates, {.forgetHeardLeaderOnRestart = true}, false, 40) != 0U);
 }
 
--- a/libs/quorum/test/replica_test.cpp
+++ b/libs/quorum/test/replica_test.cpp
@@ -174,7 +174,7 @@
 // snapshot and never catches up.
 BOOST_AUTO_TEST_CASE(LaggingReplicaCatchesUpFromSnapshotInParts)
 {
-    this->cell.defaults.snapshotInterval = Bytes(200 * 1024);
+    this->cell.defaults.snapshotInterval = Bytes(200LL * 1024);
     this->cell.startAll();
     this->leader();
     std::string lagging;
--- a/libs/quorum/test/simulated_cell.cpp
+++ b/libs/quorum/test/simulated_cell.cpp
@@ -146,6 +146,10 @@
         this->crash(number);
         node.restartAt = this->now + milliseconds(1 + this->below(this->chance(0.5) ? 20 : 800));
     }
+    if (this->chance(this->rates.blink) && node.running) {
+        this->crash(number);
+        node.restartAt = this->now + milliseconds(1);
+    }
     if (const auto leader = this->latestLeader(); leader && this->chance(this->rates.crashLeader)) {
         this->crash(*leader);
         this->nodes[*leader].restartAt = this->now + milliseconds(1 + this->below(600));
@@ -252,6 +256,13 @@
     if (node.running) {
         entriesStored(node.state);
     }
+    if (node.state.role == Role::Leader && node.state.commit > before.commit
+        && this->chance(this->rates.crashAfterCommit)) {
+        this->check(node);
+        node.running = false;
+        node.restartAt = this->now + milliseconds(1 + this->below(600));
+        return;
+    }
     for (Outgoing &outgoing : effects.messages) {
         const auto *const vote = std::get_if<VoteReply>(&outgoing.message);
         if (vote != nullptr && vote->granted && this->chance(this->rates.crashAfterVote)) {
--- a/libs/quorum/test/simulated_cell.h
+++ b/libs/quorum/test/simulated_cell.h
@@ -24,6 +24,8 @@
     double pause = 0;
     double crashLeader = 0; ///< Of the leader of the highest term.
     double crashAfterVote = 0; ///< For each granted vote, right after it was sent.
+    double crashAfterCommit = 0; ///< For each commit on a leader, before it sends anything.
+    double blink = 0; ///< A crash with a restart one step later.
     double isolate = 0;
     double cutLink = 0; ///< Cuts two replicas from each other while both reach the others.
     double eraseDisk = 0; ///< Only while no other voter waits for its repair.
