--- a/libs/quorum/include/quorum/messages.h
+++ b/libs/quorum/include/quorum/messages.h
@@ -58,6 +58,8 @@
     Term term;
     LogIndex lastIndex;
     Term lastTerm;
+    /** The data folder that makes the receiver a voter, as the sender's log has it. */
+    DiskId disk;
 
     bool operator==(const PreVote &other) const = default;
 };
@@ -82,6 +84,8 @@
     Term lastTerm;
     /** Set during a planned hand-over: voters then ignore the lease of the old leader. */
     bool handOver = false;
+    /** The data folder that makes the receiver a voter, as the sender's log has it. */
+    DiskId disk;
 
     bool operator==(const Vote &other) const = default;
 };
