Feed the scheduler with what runs and carry out its decisions

The coordinator now tells the scheduler of every committed start and every end, and stops what must make room for urgent work or leave a failure domain or a departing worker. A start that a worker refuses counts as a failure, so that a worker which refuses everything is quarantined instead of asked again at once.

A change of configuration is recognised by the digest of its own text. Before, a resend was merged over the newest configuration first and refused as another change when a later change had landed in between.

Messages between replicas carry the disk ids that the replicated log gained.

--- a/libs/cell/include/cell/command.h
+++ b/libs/cell/include/cell/command.h
@@ -17,6 +17,8 @@
 {
     ConfigVersion version;
     CellConfig config;
+    /** Digest of the change as its author sent it, by which a resend is recognised later. */
+    std::uint64_t changeDigest = 0;
 
     bool operator==(const ApplyConfig &other) const = default;
 };
--- a/libs/cell/include/cell/config_table.h
+++ b/libs/cell/include/cell/config_table.h
@@ -39,7 +39,10 @@
      * Accepts the next version. A version that was accepted with the same content yields the same
      * answer; any other fails with Conflict and names the version in force.
      */
-    Result<ConfigVersion> apply(ConfigVersion version, const CellConfig &config);
+    Result<ConfigVersion> apply(ConfigVersion version, const CellConfig &config,
+                                std::uint64_t changeDigest);
+    /** Returns whether this very change was accepted as this version, however long ago. */
+    bool wasAccepted(ConfigVersion version, std::uint64_t changeDigest) const;
     /** Fails with NotFound for an unknown team and with Conflict for a reused or withdrawn id. */
     Status grant(const Key &key);
     /** Withdraws a key for good. Withdrawing it again succeeds; an unknown one is NotFound. */
@@ -68,7 +71,7 @@
     std::set<FailureDomainId> outOfService;
 };
 
-/** Returns a digest that is equal for equal configurations on every replica. */
-std::uint64_t digestOf(const CellConfig &config);
+/** Returns a digest that is equal for equal text on every replica. */
+std::uint64_t digestOf(const std::string &text);
 
 } // namespace gooseberry
--- a/libs/cell/include/cell/coordinator.h
+++ b/libs/cell/include/cell/coordinator.h
@@ -27,6 +27,8 @@
     std::chrono::milliseconds retention{std::chrono::minutes(15)};
     /** Submissions are refused while kept answers exceed this. */
     Bytes maxAnswerBytes{64LL * 1024 * 1024};
+    /** Waiting tasks in the cell from which on new work is shed, lowest class first. */
+    std::uint32_t shedAbove = 100'000;
 };
 
 /**
@@ -136,8 +138,11 @@
     void send(const Placement &placement);
     void stopAttempts(const JobId &job);
     void onSent(const Placement &placement, const Status &status);
-    void release(const Placement &placement, bool mayHaveRun, const std::string &cause);
-    void afterEnd(const Placement &placement);
+    void release(const Placement &placement, bool mayHaveRun, const std::string &cause,
+                 EndCause end = EndCause::Stopped);
+    void afterEnd(const Placement &placement, EndCause cause);
+    void noteRunning(const AttemptId &attempt, const TaskView &view);
+    void noteEnded(const Placement &placement, EndCause cause);
     void wakeWaiters(const JobId &job);
 
     WorkerLease renew(Session &session, const WorkerReport &report, std::vector<Placement> &lost);
@@ -146,6 +151,10 @@
     void expireWaiters(SteadyTime now);
     void expireJobs(SteadyTime now);
     void scheduleRound(SteadyTime now);
+    void proposeStarts(const std::vector<StartGroup> &groups);
+    /** Stops what must make room for urgent work and what must leave its instance. */
+    void stopForOthers(const RoundInput &input);
+    void stopAttempt(const AttemptId &attempt, const InstanceId &instance, Reason reason);
 
     SessionShard &sessionShard(const InstanceId &worker);
     WaiterShard &waiterShard(const JobId &job);
--- a/libs/cell/src/cell_state.cpp
+++ b/libs/cell/src/cell_state.cpp
@@ -101,7 +101,8 @@
 
 ApplyOutcome CellState::run(const ApplyConfig &command, CellTime /*at*/)
 {
-    const Result<ConfigVersion> applied = this->configTable.apply(command.version, command.config);
+    const Result<ConfigVersion> applied
+        = this->configTable.apply(command.version, command.config, command.changeDigest);
     if (!ok(applied)) {
         return errorOf(applied);
     }
--- a/libs/cell/src/config_table.cpp
+++ b/libs/cell/src/config_table.cpp
@@ -29,19 +29,25 @@
 
 } // namespace
 
-std::uint64_t digestOf(const CellConfig &config)
+std::uint64_t digestOf(const std::string &text)
 {
-    return XXH3_64bits(config.source.data(), config.source.size());
+    return XXH3_64bits(text.data(), text.size());
 }
 
-Result<ConfigVersion> ConfigTable::apply(ConfigVersion version, const CellConfig &next)
+bool ConfigTable::wasAccepted(ConfigVersion version, std::uint64_t changeDigest) const
 {
     const std::lock_guard lock(this->mutex);
-    const std::uint64_t digest = digestOf(next);
-    if (const auto found = this->digests.find(version); found != this->digests.end()) {
-        if (found->second == digest) {
-            return version;
-        }
+    const auto found = this->digests.find(version);
+    return found != this->digests.end() && found->second == changeDigest;
+}
+
+Result<ConfigVersion> ConfigTable::apply(ConfigVersion version, const CellConfig &next,
+                                         std::uint64_t changeDigest)
+{
+    const std::lock_guard lock(this->mutex);
+    const auto earlier = this->digests.find(version);
+    if (earlier != this->digests.end() && earlier->second == changeDigest) {
+        return version;
     }
     if (version.value != this->inForce.value + 1) {
         return refuse(ErrorCode::Conflict,
@@ -50,7 +56,7 @@
     }
     this->inForce = version;
     this->config = std::make_shared<const CellConfig>(next);
-    this->digests[version] = digest;
+    this->digests[version] = changeDigest;
     if (this->digests.size() > maxDigests) {
         this->digests.erase(this->digests.begin());
     }
--- a/libs/cell/src/coordinator.cpp
+++ b/libs/cell/src/coordinator.cpp
@@ -86,6 +86,8 @@
         input.limit = owner != nullptr ? owner->limit : Limit{};
         input.pendingTasks = this->scheduler.pendingTasks(spec.queue);
     }
+    input.cellPendingTasks = this->scheduler.pendingTasks();
+    input.shedAbove = this->settings.shedAbove;
     if (!caller.credential.empty()) {
         const Result<TeamId> authenticated = this->state.config().authenticate(caller.credential);
         if (!ok(authenticated)) {
@@ -221,6 +223,12 @@
         reply(errorOf(status));
         return;
     }
+    const std::uint64_t changeDigest = digestOf(text);
+    if (this->state.config().wasAccepted(version, changeDigest)) {
+        // Merging a resent change over a later configuration would make it look like another one.
+        reply(version);
+        return;
+    }
     const ConfigInForce base = this->state.config().inForceNow();
     if (version.value > base.version.value + 1) {
         // It would be merged over a configuration that its predecessor has yet to change.
@@ -234,7 +242,8 @@
         reply(errorOf(next));
         return;
     }
-    ApplyConfig command{.version = version, .config = std::move(valueOf(next))};
+    ApplyConfig command{
+        .version = version, .config = std::move(valueOf(next)), .changeDigest = changeDigest};
     this->log.propose(std::move(command), [reply](const ApplyOutcome &outcome) {
         if (!ok(outcome)) {
             reply(errorOf(outcome));
--- a/libs/cell/src/coordinator_rounds.cpp
+++ b/libs/cell/src/coordinator_rounds.cpp
@@ -54,6 +54,9 @@
             // A report that saw this term refuses all starts of earlier ones, so the first such
             // report is proof enough.
             shard.sessions[task.instance].starts[attempt] = SentStart{};
+            if (const auto view = this->state.jobs().findTask(attempt.task)) {
+                this->noteRunning(attempt, *view);
+            }
         }
     }
     spdlog::info("event=term-begun term={}", term.value);
@@ -139,6 +142,12 @@
     if (placements > 0) {
         this->observer.roundDecided(this->clock.steadyNow() - now, placements);
     }
+    this->proposeStarts(groups);
+    this->stopForOthers(input);
+}
+
+void Coordinator::proposeStarts(const std::vector<StartGroup> &groups)
+{
     for (const StartGroup &group : groups) {
         Start command;
         command.job = group.job;
@@ -157,6 +166,56 @@
     }
 }
 
+void Coordinator::stopForOthers(const RoundInput &input)
+{
+    for (const PreemptionDecision &decision : this->scheduler.preemptions(input)) {
+        for (const Victim &victim : decision.victims) {
+            this->stopAttempt(victim.attempt, victim.instance, decision.reason);
+        }
+    }
+    for (const MoveDecision &move : this->scheduler.evacuations(input)) {
+        this->stopAttempt(move.attempt, move.from, move.reason);
+    }
+}
+
+void Coordinator::stopAttempt(const AttemptId &attempt, const InstanceId &instance, Reason reason)
+{
+    spdlog::info("decision=stop attempt={} worker={} reason={}", toString(attempt), instance.value,
+                 toString(reason));
+    // The attempt counts as running until its worker reports that it has stopped.
+    if (const auto worker = this->state.fleet().find(instance)) {
+        this->port.sendStop(worker->spec.upstream.address, attempt);
+    }
+}
+
+void Coordinator::noteRunning(const AttemptId &attempt, const TaskView &view)
+{
+    this->scheduler.taskStarted(
+        RunningTask{.attempt = attempt,
+                    .instance = view.task.instance,
+                    .team = view.team,
+                    .jobClass = view.spec->jobClass,
+                    .amount = view.spec->perTask,
+                    .repeatable = view.spec->repeatable,
+                    .checkpointable = false,
+                    .jobTemplate = view.spec->jobTemplate,
+                    .startedAt = this->clock.steadyNow(),
+                    .estimatedRunTime = correctedRunTime(*view.spec, std::nullopt, {})});
+}
+
+void Coordinator::noteEnded(const Placement &placement, EndCause cause)
+{
+    const FaultDecision fault = this->scheduler.taskEnded(TaskEnd{.attempt = placement.attempt,
+                                                                  .instance = placement.instance,
+                                                                  .cause = cause,
+                                                                  .at = this->clock.steadyNow()});
+    if (fault.reason != Reason::Accepted) {
+        spdlog::warn("decision=fault attempt={} worker={} reason={} quarantined={} parked={}",
+                     toString(placement.attempt), placement.instance.value, toString(fault.reason),
+                     fault.quarantineUntil.has_value(), fault.jobParked);
+    }
+}
+
 void Coordinator::dispatch(const StartGroup &group, const ApplyOutcome &outcome)
 {
     for (const StartDecision &decision : group.starts) {
@@ -175,6 +234,9 @@
     for (const PlacementOutcome &placed :
          std::get<std::vector<PlacementOutcome>>(valueOf(outcome))) {
         if (ok(placed.status)) {
+            if (const auto view = this->state.jobs().findTask(placed.placement.attempt.task)) {
+                this->noteRunning(placed.placement.attempt, *view);
+            }
             this->send(placed.placement);
         } else {
             spdlog::info("decision=placement attempt={} worker={} committed=false {}",
--- a/libs/cell/src/coordinator_workers.cpp
+++ b/libs/cell/src/coordinator_workers.cpp
@@ -16,6 +16,19 @@
 /** Generations after which an accepted start must appear in its worker's reports. */
 constexpr std::uint64_t acknowledgedLag = 2;
 
+EndCause endCause(AttemptResult result)
+{
+    switch (result) {
+    case AttemptResult::Succeeded:
+        return EndCause::Succeeded;
+    case AttemptResult::Failed:
+        return EndCause::Failed;
+    case AttemptResult::Stopped:
+        break;
+    }
+    return EndCause::Stopped;
+}
+
 Error unknownWorker(const InstanceId &worker)
 {
     return Error{.code = ErrorCode::NotFound,
@@ -161,7 +174,7 @@
             }
             spdlog::info("event=attempt-ended attempt={} worker={} result={}",
                          toString(placement.attempt), placement.instance.value, toString(result));
-            this->afterEnd(placement);
+            this->afterEnd(placement, endCause(result));
             reply(Done{});
         });
 }
@@ -253,23 +266,25 @@
                      describe(errorOf(status)));
     }
     if (refused) {
-        this->release(placement, false, "start refused");
+        // Counted as a failure, so that a worker which refuses everything is quarantined.
+        this->release(placement, false, "start refused", EndCause::Failed);
     }
 }
 
-void Coordinator::release(const Placement &placement, bool mayHaveRun, const std::string &cause)
+void Coordinator::release(const Placement &placement, bool mayHaveRun, const std::string &cause,
+                          EndCause end)
 {
     spdlog::warn("decision=release attempt={} worker={} mayHaveRun={} cause=\"{}\"",
                  toString(placement.attempt), placement.instance.value, mayHaveRun, cause);
     this->log.propose(Release{.placement = placement, .mayHaveRun = mayHaveRun},
-                      [this, placement](const ApplyOutcome &outcome) {
+                      [this, placement, end](const ApplyOutcome &outcome) {
                           if (ok(outcome)) {
-                              this->afterEnd(placement);
+                              this->afterEnd(placement, end);
                           }
                       });
 }
 
-void Coordinator::afterEnd(const Placement &placement)
+void Coordinator::afterEnd(const Placement &placement, EndCause cause)
 {
     {
         SessionShard &shard = this->sessionShard(placement.instance);
@@ -279,6 +294,7 @@
             found->second.starts.erase(placement.attempt);
         }
     }
+    this->noteEnded(placement, cause);
     this->requeue(placement.attempt.task);
     this->wakeWaiters(placement.attempt.task.job);
     this->observer.workArrived();
--- a/libs/protocol/gen-cpp/gooseberry_types.cpp
+++ b/libs/protocol/gen-cpp/gooseberry_types.cpp
@@ -442,6 +442,10 @@
   this->keys = val;
 }
 
+void Team::__set_guaranteed(const Resources& val) {
+  this->guaranteed = val;
+}
+
 uint32_t Team::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
@@ -459,6 +463,7 @@
   bool isset_weight = false;
   bool isset_maximum = false;
   bool isset_keys = false;
+  bool isset_guaranteed = false;
 
   while (true)
   {
@@ -520,6 +525,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->guaranteed.read(iprot);
+          isset_guaranteed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -539,6 +552,8 @@
     throw TProtocolException(TProtocolException::INVALID_DATA);
   if (!isset_keys)
     throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_guaranteed)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
@@ -575,6 +590,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("guaranteed", ::apache::thrift::protocol::T_STRUCT, 6);
+  xfer += this->guaranteed.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -587,6 +606,7 @@
   swap(a.weight, b.weight);
   swap(a.maximum, b.maximum);
   swap(a.keys, b.keys);
+  swap(a.guaranteed, b.guaranteed);
 }
 
 Team::Team(const Team& other14) {
@@ -595,6 +615,7 @@
   weight = other14.weight;
   maximum = other14.maximum;
   keys = other14.keys;
+  guaranteed = other14.guaranteed;
 }
 Team::Team(Team&& other15) noexcept {
   id = std::move(other15.id);
@@ -602,6 +623,7 @@
   weight = other15.weight;
   maximum = std::move(other15.maximum);
   keys = std::move(other15.keys);
+  guaranteed = std::move(other15.guaranteed);
 }
 Team& Team::operator=(const Team& other16) {
   id = other16.id;
@@ -609,6 +631,7 @@
   weight = other16.weight;
   maximum = other16.maximum;
   keys = other16.keys;
+  guaranteed = other16.guaranteed;
   return *this;
 }
 Team& Team::operator=(Team&& other17) noexcept {
@@ -617,6 +640,7 @@
   weight = other17.weight;
   maximum = std::move(other17.maximum);
   keys = std::move(other17.keys);
+  guaranteed = std::move(other17.guaranteed);
   return *this;
 }
 
@@ -2079,6 +2103,10 @@
   this->config = val;
 }
 
+void ApplyConfig::__set_changeDigest(const int64_t val) {
+  this->changeDigest = val;
+}
+
 uint32_t ApplyConfig::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
@@ -2093,6 +2121,7 @@
 
   bool isset_version = false;
   bool isset_config = false;
+  bool isset_changeDigest = false;
 
   while (true)
   {
@@ -2118,6 +2147,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->changeDigest);
+          isset_changeDigest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2131,6 +2168,8 @@
     throw TProtocolException(TProtocolException::INVALID_DATA);
   if (!isset_config)
     throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_changeDigest)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
@@ -2147,6 +2186,10 @@
   xfer += this->config.write(oprot);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("changeDigest", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->changeDigest);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2156,24 +2199,29 @@
   using ::std::swap;
   swap(a.version, b.version);
   swap(a.config, b.config);
+  swap(a.changeDigest, b.changeDigest);
 }
 
 ApplyConfig::ApplyConfig(const ApplyConfig& other77) {
   version = other77.version;
   config = other77.config;
+  changeDigest = other77.changeDigest;
 }
 ApplyConfig::ApplyConfig(ApplyConfig&& other78) noexcept {
   version = other78.version;
   config = std::move(other78.config);
+  changeDigest = other78.changeDigest;
 }
 ApplyConfig& ApplyConfig::operator=(const ApplyConfig& other79) {
   version = other79.version;
   config = other79.config;
+  changeDigest = other79.changeDigest;
   return *this;
 }
 ApplyConfig& ApplyConfig::operator=(ApplyConfig&& other80) noexcept {
   version = other80.version;
   config = std::move(other80.config);
+  changeDigest = other80.changeDigest;
   return *this;
 }
 
@@ -4813,6 +4861,10 @@
   this->lastTerm = val;
 }
 
+void PreVote::__set_disk(const int64_t val) {
+  this->disk = val;
+}
+
 uint32_t PreVote::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
@@ -4828,6 +4880,7 @@
   bool isset_term = false;
   bool isset_lastIndex = false;
   bool isset_lastTerm = false;
+  bool isset_disk = false;
 
   while (true)
   {
@@ -4861,6 +4914,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->disk);
+          isset_disk = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4876,6 +4937,8 @@
     throw TProtocolException(TProtocolException::INVALID_DATA);
   if (!isset_lastTerm)
     throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_disk)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
@@ -4896,6 +4959,10 @@
   xfer += oprot->writeI64(this->lastTerm);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("disk", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->disk);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4906,28 +4973,33 @@
   swap(a.term, b.term);
   swap(a.lastIndex, b.lastIndex);
   swap(a.lastTerm, b.lastTerm);
+  swap(a.disk, b.disk);
 }
 
 PreVote::PreVote(const PreVote& other214) noexcept {
   term = other214.term;
   lastIndex = other214.lastIndex;
   lastTerm = other214.lastTerm;
+  disk = other214.disk;
 }
 PreVote::PreVote(PreVote&& other215) noexcept {
   term = other215.term;
   lastIndex = other215.lastIndex;
   lastTerm = other215.lastTerm;
+  disk = other215.disk;
 }
 PreVote& PreVote::operator=(const PreVote& other216) noexcept {
   term = other216.term;
   lastIndex = other216.lastIndex;
   lastTerm = other216.lastTerm;
+  disk = other216.disk;
   return *this;
 }
 PreVote& PreVote::operator=(PreVote&& other217) noexcept {
   term = other217.term;
   lastIndex = other217.lastIndex;
   lastTerm = other217.lastTerm;
+  disk = other217.disk;
   return *this;
 }
 
@@ -5085,6 +5157,10 @@
   this->handOver = val;
 }
 
+void Vote::__set_disk(const int64_t val) {
+  this->disk = val;
+}
+
 uint32_t Vote::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
@@ -5101,6 +5177,7 @@
   bool isset_lastIndex = false;
   bool isset_lastTerm = false;
   bool isset_handOver = false;
+  bool isset_disk = false;
 
   while (true)
   {
@@ -5142,6 +5219,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->disk);
+          isset_disk = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5159,6 +5244,8 @@
     throw TProtocolException(TProtocolException::INVALID_DATA);
   if (!isset_handOver)
     throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_disk)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
@@ -5183,6 +5270,10 @@
   xfer += oprot->writeBool(this->handOver);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("disk", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->disk);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5194,6 +5285,7 @@
   swap(a.lastIndex, b.lastIndex);
   swap(a.lastTerm, b.lastTerm);
   swap(a.handOver, b.handOver);
+  swap(a.disk, b.disk);
 }
 
 Vote::Vote(const Vote& other222) noexcept {
@@ -5201,18 +5293,21 @@
   lastIndex = other222.lastIndex;
   lastTerm = other222.lastTerm;
   handOver = other222.handOver;
+  disk = other222.disk;
 }
 Vote::Vote(Vote&& other223) noexcept {
   term = other223.term;
   lastIndex = other223.lastIndex;
   lastTerm = other223.lastTerm;
   handOver = other223.handOver;
+  disk = other223.disk;
 }
 Vote& Vote::operator=(const Vote& other224) noexcept {
   term = other224.term;
   lastIndex = other224.lastIndex;
   lastTerm = other224.lastTerm;
   handOver = other224.handOver;
+  disk = other224.disk;
   return *this;
 }
 Vote& Vote::operator=(Vote&& other225) noexcept {
@@ -5220,6 +5315,7 @@
   lastIndex = other225.lastIndex;
   lastTerm = other225.lastTerm;
   handOver = other225.handOver;
+  disk = other225.disk;
   return *this;
 }
 
--- a/libs/protocol/gen-cpp/gooseberry_types.h
+++ b/libs/protocol/gen-cpp/gooseberry_types.h
@@ -349,6 +349,7 @@
   double weight;
   Resources maximum;
   std::vector<std::string>  keys;
+  Resources guaranteed;
 
   void __set_id(const std::string& val);
 
@@ -360,6 +361,8 @@
 
   void __set_keys(const std::vector<std::string> & val);
 
+  void __set_guaranteed(const Resources& val);
+
   bool operator == (const Team & rhs) const
   {
     if (!(id == rhs.id))
@@ -372,6 +375,8 @@
       return false;
     if (!(keys == rhs.keys))
       return false;
+    if (!(guaranteed == rhs.guaranteed))
+      return false;
     return true;
   }
   bool operator != (const Team &rhs) const {
@@ -843,23 +848,29 @@
   ApplyConfig& operator=(const ApplyConfig&);
   ApplyConfig& operator=(ApplyConfig&&) noexcept;
   ApplyConfig() noexcept
-              : version(0) {
+              : version(0),
+                changeDigest(0) {
   }
 
   virtual ~ApplyConfig() noexcept;
   int64_t version;
   CellConfig config;
+  int64_t changeDigest;
 
   void __set_version(const int64_t val);
 
   void __set_config(const CellConfig& val);
 
+  void __set_changeDigest(const int64_t val);
+
   bool operator == (const ApplyConfig & rhs) const
   {
     if (!(version == rhs.version))
       return false;
     if (!(config == rhs.config))
       return false;
+    if (!(changeDigest == rhs.changeDigest))
+      return false;
     return true;
   }
   bool operator != (const ApplyConfig &rhs) const {
@@ -1723,13 +1734,15 @@
   PreVote() noexcept
           : term(0),
             lastIndex(0),
-            lastTerm(0) {
+            lastTerm(0),
+            disk(0) {
   }
 
   virtual ~PreVote() noexcept;
   int64_t term;
   int64_t lastIndex;
   int64_t lastTerm;
+  int64_t disk;
 
   void __set_term(const int64_t val);
 
@@ -1737,6 +1750,8 @@
 
   void __set_lastTerm(const int64_t val);
 
+  void __set_disk(const int64_t val);
+
   bool operator == (const PreVote & rhs) const
   {
     if (!(term == rhs.term))
@@ -1745,6 +1760,8 @@
       return false;
     if (!(lastTerm == rhs.lastTerm))
       return false;
+    if (!(disk == rhs.disk))
+      return false;
     return true;
   }
   bool operator != (const PreVote &rhs) const {
@@ -1824,7 +1841,8 @@
        : term(0),
          lastIndex(0),
          lastTerm(0),
-         handOver(0) {
+         handOver(0),
+         disk(0) {
   }
 
   virtual ~Vote() noexcept;
@@ -1832,6 +1850,7 @@
   int64_t lastIndex;
   int64_t lastTerm;
   bool handOver;
+  int64_t disk;
 
   void __set_term(const int64_t val);
 
@@ -1841,6 +1860,8 @@
 
   void __set_handOver(const bool val);
 
+  void __set_disk(const int64_t val);
+
   bool operator == (const Vote & rhs) const
   {
     if (!(term == rhs.term))
@@ -1851,6 +1872,8 @@
       return false;
     if (!(handOver == rhs.handOver))
       return false;
+    if (!(disk == rhs.disk))
+      return false;
     return true;
   }
   bool operator != (const Vote &rhs) const {
--- a/libs/protocol/gooseberry.thrift
+++ b/libs/protocol/gooseberry.thrift
@@ -51,6 +51,7 @@
     3: required double weight
     4: required Resources maximum
     5: required list<string> keys
+    6: required Resources guaranteed
 }
 
 struct Queue {
@@ -115,6 +116,7 @@
 struct ApplyConfig {
     1: required i64 version
     2: required CellConfig config
+    3: required i64 changeDigest
 }
 
 struct SetDomain {
@@ -227,6 +229,7 @@
     1: required i64 term
     2: required i64 lastIndex
     3: required i64 lastTerm
+    4: required i64 disk
 }
 
 struct PreVoteReply {
@@ -240,6 +243,7 @@
     2: required i64 lastIndex
     3: required i64 lastTerm
     4: required bool handOver
+    5: required i64 disk
 }
 
 struct VoteReply {
--- a/libs/protocol/src/convert_cell.cpp
+++ b/libs/protocol/src/convert_cell.cpp
@@ -50,6 +50,7 @@
     out.__isset.applyConfig = true;
     out.applyConfig.version = toWire64(command.version.value);
     out.applyConfig.config = toWire(command.config);
+    out.applyConfig.changeDigest = toWire64(command.changeDigest);
 }
 
 void put(wire::Command &out, const GrantKey &command)
@@ -136,7 +137,8 @@
 {
     if (in.__isset.applyConfig) {
         return ApplyConfig{.version = ConfigVersion(fromWire64(in.applyConfig.version)),
-                           .config = fromWire(std::move(in.applyConfig.config))};
+                           .config = fromWire(std::move(in.applyConfig.config)),
+                           .changeDigest = fromWire64(in.applyConfig.changeDigest)};
     }
     if (in.__isset.grantKey) {
         return GrantKey{.key = fromWire(std::move(in.grantKey))};
--- a/libs/protocol/src/convert_contract.cpp
+++ b/libs/protocol/src/convert_contract.cpp
@@ -26,6 +26,7 @@
     out.customer = team.customer.value;
     out.weight = team.share.weight;
     out.maximum = toWire(team.limit.maximum);
+    out.guaranteed = toWire(team.guaranteed);
     for (const KeyId &key : team.keys) {
         out.keys.push_back(key.value);
     }
@@ -39,6 +40,7 @@
     team.customer = CustomerId(std::move(in.customer));
     team.share.weight = in.weight;
     team.limit.maximum = fromWire(in.maximum);
+    team.guaranteed = fromWire(in.guaranteed);
     for (std::string &key : in.keys) {
         team.keys.emplace_back(std::move(key));
     }
--- a/libs/protocol/src/convert_quorum.cpp
+++ b/libs/protocol/src/convert_quorum.cpp
@@ -70,6 +70,7 @@
     out.preVote.term = toWire64(message.term.value);
     out.preVote.lastIndex = toWire64(message.lastIndex.value);
     out.preVote.lastTerm = toWire64(message.lastTerm.value);
+    out.preVote.disk = toWire64(message.disk.value);
 }
 
 void put(wire::QuorumMessage &out, const PreVoteReply &message)
@@ -87,6 +88,7 @@
     out.vote.lastIndex = toWire64(message.lastIndex.value);
     out.vote.lastTerm = toWire64(message.lastTerm.value);
     out.vote.handOver = message.handOver;
+    out.vote.disk = toWire64(message.disk.value);
 }
 
 void put(wire::QuorumMessage &out, const VoteReply &message)
@@ -180,7 +182,8 @@
     if (in.__isset.preVote) {
         return PreVote{.term = Term(fromWire64(in.preVote.term)),
                        .lastIndex = LogIndex(fromWire64(in.preVote.lastIndex)),
-                       .lastTerm = Term(fromWire64(in.preVote.lastTerm))};
+                       .lastTerm = Term(fromWire64(in.preVote.lastTerm)),
+                       .disk = DiskId(fromWire64(in.preVote.disk))};
     }
     if (in.__isset.preVoteReply) {
         return PreVoteReply{.term = Term(fromWire64(in.preVoteReply.term)),
@@ -191,7 +194,8 @@
         return Vote{.term = Term(fromWire64(in.vote.term)),
                     .lastIndex = LogIndex(fromWire64(in.vote.lastIndex)),
                     .lastTerm = Term(fromWire64(in.vote.lastTerm)),
-                    .handOver = in.vote.handOver};
+                    .handOver = in.vote.handOver,
+                    .disk = DiskId(fromWire64(in.vote.disk))};
     }
     if (in.__isset.voteReply) {
         return VoteReply{.term = Term(fromWire64(in.voteReply.term)),
