Decode targets, name the policy's reason and the dimension in refusals

The reason field repeated the code, the refusal of an impossible shape did not say what was missing, ids with a slash could not be sent in a path, an empty id was accepted, and a refusal that quoted bytes of a request was not valid UTF-8. Error now carries the policy's reason; targets are decoded per segment and value, and malformed encoding is refused.

--- a/libs/base/include/base/error.h
+++ b/libs/base/include/base/error.h
@@ -59,6 +59,8 @@
     std::string peer;
     std::string message;
     Outcome outcome = Outcome::NotRun;
+    /** The code of the policy's reason, such as "queue-full"; empty when no policy decided. */
+    std::string reason{};
 
     bool operator==(const Error &other) const = default;
 };
--- a/libs/base/src/error.cpp
+++ b/libs/base/src/error.cpp
@@ -82,6 +82,7 @@
 std::string describe(const Error &error)
 {
     return "code=" + toString(error.code) + " step=" + toString(error.step)
+        + (error.reason.empty() ? "" : " reason=" + error.reason)
         + " peer=" + (error.peer.empty() ? "-" : error.peer) + " outcome=" + toString(error.outcome)
         + " message=\"" + error.message + '"';
 }
--- a/libs/cell/src/coordinator.cpp
+++ b/libs/cell/src/coordinator.cpp
@@ -94,6 +94,9 @@
         input.pendingTasks = isResend ? 0 : this->scheduler.pendingTasks(spec.queue);
     }
     input.couldEverFit = this->state.fleet().couldEverHold(spec.perTask, spec.service);
+    if (!input.couldEverFit) {
+        input.shortage = this->state.fleet().shortageOf(spec.perTask, spec.service);
+    }
     if (Status status = checkAdmission(spec, input); !ok(status)) {
         return status;
     }
--- a/libs/fleet/include/fleet/fleet_table.h
+++ b/libs/fleet/include/fleet/fleet_table.h
@@ -52,6 +52,11 @@
     std::vector<Instance> snapshot() const;
     /** Returns whether some instance that offers the service could hold the amount when empty. */
     bool couldEverHold(const Resources &amount, const std::string &service) const;
+    /**
+     * Returns a dimension in which the instance that comes closest to holding the amount is too
+     * small, or nothing if one could hold it or none offers the service.
+     */
+    std::optional<Dimension> shortageOf(const Resources &amount, const std::string &service) const;
     /** Returns the sum of the declared sizes of all instances. */
     Resources totalCapacity() const;
 
--- a/libs/fleet/src/fleet_table.cpp
+++ b/libs/fleet/src/fleet_table.cpp
@@ -1,5 +1,7 @@
 #include <fleet/fleet_table.h>
 
+#include <algorithm>
+
 namespace gooseberry {
 
 namespace {
@@ -166,6 +168,24 @@
     return false;
 }
 
+std::optional<Dimension> Fleet::shortageOf(const Resources &amount,
+                                           const std::string &service) const
+{
+    std::optional<Dimension> last;
+    for (const Instance &instance : this->snapshot()) {
+        if (!offers(instance, service)) {
+            continue;
+        }
+        const auto shortage = firstShortage(amount, instance.spec.capacity);
+        if (!shortage) {
+            return std::nullopt;
+        }
+        // Dimensions are checked in order, so a later shortage means that more of them fit.
+        last = last ? std::max(*last, *shortage) : *shortage;
+    }
+    return last;
+}
+
 Resources Fleet::totalCapacity() const
 {
     Resources total;
--- a/libs/gateway/include/gateway/http_gateway.h
+++ b/libs/gateway/include/gateway/http_gateway.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <string>
 
 #include <cell/cell.h>
@@ -31,7 +32,8 @@
         std::vector<std::string> path;
         std::map<std::string, std::string> query;
     };
-    static Route parseTarget(const std::string &target);
+    /** Splits and decodes a target; returns nothing for malformed percent-encoding. */
+    static std::optional<Route> parseTarget(const std::string &target);
     bool mayOperate(const HttpRequest &request) const;
     bool mayWork(const HttpRequest &request) const;
 
--- a/libs/gateway/src/http_gateway.cpp
+++ b/libs/gateway/src/http_gateway.cpp
@@ -66,6 +66,28 @@
     return number;
 }
 
+/** Replaces each "%XX" by its byte; returns nothing when a percent sign is not followed by two. */
+std::optional<std::string> percentDecode(const std::string &text)
+{
+    constexpr int hexadecimal = 16;
+    std::string decoded;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        if (text[i] != '%') {
+            decoded.push_back(text[i]);
+            continue;
+        }
+        unsigned byte = 0;
+        const char *digits = text.data() + i + 1;
+        const bool complete = i + 2 < text.size();
+        if (!complete || std::from_chars(digits, digits + 2, byte, hexadecimal).ptr != digits + 2) {
+            return std::nullopt;
+        }
+        decoded.push_back(static_cast<char>(byte));
+        i += 2;
+    }
+    return decoded;
+}
+
 HttpResponse answerResponse(const JobRecord &job)
 {
     // A job with one task answers with that task's bytes; one with several, with their sequence.
@@ -139,7 +161,7 @@
 {
 }
 
-HttpGateway::Route HttpGateway::parseTarget(const std::string &target)
+std::optional<HttpGateway::Route> HttpGateway::parseTarget(const std::string &target)
 {
     Route route;
     const std::size_t mark = target.find('?');
@@ -147,7 +169,11 @@
     std::size_t begin = 1;
     while (begin <= path.size()) {
         const std::size_t end = std::min(path.find('/', begin), path.size());
-        route.path.push_back(path.substr(begin, end - begin));
+        const auto segment = percentDecode(path.substr(begin, end - begin));
+        if (!segment) {
+            return std::nullopt;
+        }
+        route.path.push_back(*segment);
         begin = end + 1;
     }
     std::size_t position = mark == std::string::npos ? target.size() : mark + 1;
@@ -155,8 +181,12 @@
         const std::size_t end = std::min(target.find('&', position), target.size());
         const std::string pair = target.substr(position, end - position);
         const std::size_t equals = std::min(pair.find('='), pair.size());
-        route.query[pair.substr(0, equals)]
-            = equals < pair.size() ? pair.substr(equals + 1) : std::string();
+        const auto name = percentDecode(pair.substr(0, equals));
+        const auto value = percentDecode(equals < pair.size() ? pair.substr(equals + 1) : "");
+        if (!name || !value) {
+            return std::nullopt;
+        }
+        route.query[*name] = *value;
         position = end + 1;
     }
     return route;
@@ -175,7 +205,12 @@
 
 void HttpGateway::handle(const HttpRequest &request, const HttpServer::Respond &respond)
 {
-    const Route route = parseTarget(request.target);
+    const std::optional<Route> parsed = parseTarget(request.target);
+    if (!parsed) {
+        respond(errorResponse(invalid("the target has malformed percent-encoding")));
+        return;
+    }
+    const Route &route = *parsed;
     if (route.path.size() < 2 || route.path[0] != "v1") {
         respond(errorResponse(notFound("no route " + request.method + ' ' + request.target)));
         return;
@@ -241,7 +276,8 @@
         this->handleSubmit(request, route, respond);
         return;
     }
-    const auto number = route.path.size() >= 3 ? parseNumber(route.path[2]) : std::nullopt;
+    const bool depthKnown = route.path.size() == 3 || route.path.size() == 4;
+    const auto number = depthKnown ? parseNumber(route.path[2]) : std::nullopt;
     if (!number) {
         respond(errorResponse(notFound("a job is named by its number")));
         return;
--- a/libs/gateway/src/json_codec.cpp
+++ b/libs/gateway/src/json_codec.cpp
@@ -64,7 +64,11 @@
         if (!this->object.contains(name)) {
             this->note(name, "is required");
         }
-        return this->text(name, {});
+        const std::string value = this->text(name, {});
+        if (value.empty()) {
+            this->note(name, "must not be empty");
+        }
+        return value;
     }
 
     std::int64_t number(const std::string &name, std::int64_t fallback, std::int64_t highest)
@@ -198,6 +202,16 @@
     return error == std::errc();
 }
 
+/** Returns the text in ASCII, since a refusal may quote bytes that are not valid UTF-8. */
+std::string printable(std::string text)
+{
+    for (char &character : text) {
+        const bool isPlain = character >= ' ' && character <= '~';
+        character = isPlain ? character : '?';
+    }
+    return text;
+}
+
 void readHeld(FieldReader &fields, std::vector<AttemptId> &held)
 {
     for (const std::string &text : fields.texts("held")) {
@@ -313,12 +327,13 @@
 
 std::string writeError(const Error &error)
 {
-    return json::serialize(json::object{{"code", toString(error.code)},
-                                        {"reason", toString(error.code)},
-                                        {"step", toString(error.step)},
-                                        {"peer", error.peer},
-                                        {"outcome", toString(error.outcome)},
-                                        {"message", error.message}});
+    return json::serialize(
+        json::object{{"code", toString(error.code)},
+                     {"reason", error.reason.empty() ? toString(error.code) : error.reason},
+                     {"step", toString(error.step)},
+                     {"peer", printable(error.peer)},
+                     {"outcome", toString(error.outcome)},
+                     {"message", printable(error.message)}});
 }
 
 std::string writeSubmitReply(const SubmitReply &reply)
--- a/libs/policy/include/policy/admission.h
+++ b/libs/policy/include/policy/admission.h
@@ -19,6 +19,8 @@
     std::optional<TeamId> caller;
     std::uint32_t pendingTasks = 0;
     bool couldEverFit = false;
+    /** When nothing could ever fit, the dimension that the refusal names; nothing if unknown. */
+    std::optional<Dimension> shortage;
 };
 
 /** Returns Done, or an error with outcome NotRun that names what stands in the way. */
--- a/libs/policy/src/admission.cpp
+++ b/libs/policy/src/admission.cpp
@@ -9,8 +9,9 @@
     return Error{.code = code,
                  .step = step,
                  .peer = {},
-                 .message = toString(reason) + ": " + message,
-                 .outcome = Outcome::NotRun};
+                 .message = message,
+                 .outcome = Outcome::NotRun,
+                 .reason = toString(reason)};
 }
 
 Status checkCaller(const Queue &queue, const std::optional<TeamId> &caller)
@@ -54,8 +55,10 @@
                           + " is below what must run at once");
     }
     if (!input.couldEverFit) {
+        const std::string missing
+            = input.shortage ? " in dimension " + toString(*input.shortage) : "";
         return refuse(ErrorCode::Impossible, Step::Admit, Reason::ShapeImpossible,
-                      "no instance could ever hold a task of this shape");
+                      "no instance could ever hold a task of this shape" + missing);
     }
     if (input.pendingTasks + spec.taskCount > queue.maxPendingTasks) {
         return refuse(ErrorCode::LimitExceeded, Step::Admit, Reason::QueueFull,
