Correct lint findings in the tests of cell and gateway

clang-tidy named widening multiplications, swappable parameters and a constant that prevents a move.

--- a/libs/cell/test/cell_fixture.h
+++ b/libs/cell/test/cell_fixture.h
@@ -137,13 +137,12 @@
     }
 
     /** Announces a worker with 8 cores and returns its lease. */
-    WorkerLease announce(const std::string &id, const std::string &incarnation = "i1",
-                         const std::string &domain = "d1")
+    WorkerLease announce(const std::string &id, const std::string &incarnation = "i1")
     {
         InstanceSpec instance;
         instance.id = InstanceId(id);
         instance.rack = RackId("rack");
-        instance.domain = FailureDomainId(domain);
+        instance.domain = FailureDomainId("d1");
         instance.capacity.cpu = CpuMillis(8000);
         instance.upstream.incarnation = incarnation;
         WorkerLease lease;
--- a/libs/cell/test/cell_state_property_test.cpp
+++ b/libs/cell/test/cell_state_property_test.cpp
@@ -94,7 +94,7 @@
     submit.spec.queue = QueueId("c/q");
     submit.spec.jobClass = pick(2) == 0 ? JobClass::Gang : JobClass::Batch;
     submit.spec.taskCount = static_cast<std::uint32_t>(pick(4));
-    submit.spec.perTask.cpu = CpuMillis((pick(6) - 1) * 1000);
+    submit.spec.perTask.cpu = CpuMillis((pick(6) - 1) * 1000LL);
     submit.spec.repeatable = pick(2) == 0;
     return submit;
 }
@@ -137,7 +137,7 @@
     InstanceSpec instance;
     instance.id = anyInstance();
     instance.domain = domain;
-    instance.capacity.cpu = CpuMillis((pick(6) + 1) * 1000);
+    instance.capacity.cpu = CpuMillis((pick(6) + 1) * 1000LL);
     return Announce{.instance = instance};
 }
 
--- a/libs/gateway/src/json_codec.cpp
+++ b/libs/gateway/src/json_codec.cpp
@@ -64,7 +64,7 @@
         if (!this->object.contains(name)) {
             this->note(name, "is required");
         }
-        const std::string value = this->text(name, {});
+        std::string value = this->text(name, {});
         if (value.empty()) {
             this->note(name, "must not be empty");
         }
