Keep HTTP connections and harden client and server

The client opened a connection for every request, and the server lost requests or refusals in several cases. A request is written at most once; another connection is tried only while nothing was written. A response without a length is an error, since it can't be told from a truncated one. The server answers HEAD without a body and Expect: 100-continue, reads on for a moment after a refusal so that the sender sees it, and on drain serves what has been accepted or has arrived.

--- a/cmake/GooseberryTargets.cmake
+++ b/cmake/GooseberryTargets.cmake
@@ -30,8 +30,12 @@
                         PRIVATE gl_warnings)
   file(GLOB tests CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/${name}/test/*.cpp)
   if(tests)
-    add_executable(gl_${name}_test ${tests})
-    target_compile_definitions(gl_${name}_test PRIVATE BOOST_TEST_DYN_LINK BOOST_TEST_MODULE=${name}
+    # BOOST_TEST_MODULE defines main(), so exactly one file of a test may define it.
+    set(test_main ${CMAKE_CURRENT_BINARY_DIR}/${name}_test_main.cpp)
+    file(CONFIGURE OUTPUT ${test_main}
+      CONTENT "#define BOOST_TEST_MODULE ${name}\n#include <boost/test/unit_test.hpp>\n")
+    add_executable(gl_${name}_test ${tests} ${test_main})
+    target_compile_definitions(gl_${name}_test PRIVATE BOOST_TEST_DYN_LINK
       GL_SOURCE_DIR="${PROJECT_SOURCE_DIR}" GL_BINARY_DIR="${PROJECT_BINARY_DIR}")
     target_include_directories(gl_${name}_test PRIVATE ${CMAKE_CURRENT_SOURCE_DIR}/${name}/src)
     target_link_libraries(gl_${name}_test PRIVATE gl_${name} gl_warnings
--- a/libs/link/src/http_client.cpp
+++ b/libs/link/src/http_client.cpp
@@ -1,10 +1,14 @@
 #include <link/http_client.h>
 
+#include <algorithm>
+#include <optional>
+
+#include <boost/asio/dispatch.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/strand.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "connection_pool.h"
 #include "executor_impl.h"
 
 namespace gooseberry {
@@ -17,22 +21,45 @@
 using tcp = asio::ip::tcp;
 using ErrorCodeValue = boost::system::error_code;
 
-constexpr std::uint64_t maxResponseBody = 32ULL * 1024 * 1024;
+/** Returns whether a caller's text would end a line of the header and so begin another one. */
+bool breaksLine(const std::string &text)
+{
+    return text.find_first_of(std::string("\r\n\0", 3)) != std::string::npos;
+}
 
-/** One request on a connection of its own. All its steps run on its own strand. */
+bool isWellFormed(const HttpRequest &request)
+{
+    return !request.method.empty() && !request.target.empty() && !breaksLine(request.method)
+        && !breaksLine(request.target)
+        && std::none_of(request.headers.begin(), request.headers.end(), [](const auto &field) {
+               return field.first.empty() || breaksLine(field.first) || breaksLine(field.second);
+           });
+}
+
+/** One request. Once it has a connection, all its steps run on the connection's strand. */
 class Exchange : public std::enable_shared_from_this<Exchange>
 {
 public:
-    Exchange(asio::io_context &context, Address initialAddress, HttpClient::Callback initialDone)
-        : stream(asio::make_strand(context))
+    Exchange(std::shared_ptr<ConnectionPool> initialPool, Address initialAddress,
+             std::chrono::milliseconds deadline, HttpClient::Callback initialDone)
+        : pool(std::move(initialPool))
         , address(std::move(initialAddress))
+        , begunAt(std::chrono::steady_clock::now())
+        , endsAt(begunAt + deadline)
         , done(std::move(initialDone))
     {
-        this->parser.body_limit(maxResponseBody);
     }
 
-    void start(const HttpRequest &message, std::chrono::milliseconds deadline)
+    void start(const HttpRequest &message, Bytes maxResponseBody)
     {
+        ErrorCodeValue error;
+        this->endpoint
+            = tcp::endpoint(asio::ip::make_address(this->address.host, error), this->address.port);
+        if (error || !isWellFormed(message)) {
+            this->done(this->makeError(ErrorCode::InvalidArgument, "the request is not well formed",
+                                       Outcome::NotRun));
+            return;
+        }
         this->request.method_string(message.method);
         this->request.target(message.target);
         this->request.version(11);
@@ -40,56 +67,101 @@
             this->request.set(name, value);
         }
         this->request.set(http::field::host, toString(this->address));
-        this->request.keep_alive(false);
+        this->request.keep_alive(true);
         this->request.body() = message.body;
         this->request.prepare_payload();
-        ErrorCodeValue error;
-        const tcp::endpoint endpoint(asio::ip::make_address(this->address.host, error),
-                                     this->address.port);
-        if (error) {
-            this->fail(error, Outcome::NotRun);
-            return;
-        }
-        this->stream.expires_after(deadline);
-        this->stream.async_connect(endpoint,
-                                   [self = this->shared_from_this()](ErrorCodeValue connectError) {
-                                       self->onConnected(connectError);
-                                   });
+        this->bodyLimit = static_cast<std::uint64_t>(maxResponseBody.value);
+        this->acquire();
     }
 
 private:
-    void onConnected(ErrorCodeValue error)
+    void acquire()
     {
-        if (error) {
-            this->fail(error, Outcome::NotRun);
+        this->pool->acquire(
+            this->address, this->endsAt,
+            [self = this->shared_from_this()](Result<std::shared_ptr<PooledConnection>> granted) {
+                if (!ok(granted)) {
+                    self->done(errorOf(granted));
+                    return;
+                }
+                self->connection = valueOf(std::move(granted));
+                asio::dispatch(self->connection->socket.get_executor(),
+                               [self]() { self->begin(); });
+            });
+    }
+
+    void begin()
+    {
+        this->timer.emplace(this->connection->socket.get_executor(), this->endsAt);
+        this->holds = std::make_shared<bool>(true);
+        this->timer->async_wait([self = this->shared_from_this(), held = this->connection,
+                                 holds = this->holds](ErrorCodeValue error) {
+            // An expiry that was on its way when the connection was given back must not close it.
+            if (!error && *holds) {
+                // The step that is under way ends with an error and reports.
+                self->late = true;
+                ErrorCodeValue ignored;
+                held->socket.close(ignored);
+            }
+        });
+        if (this->connection->reused) {
+            this->write();
             return;
         }
-        http::async_write(
-            this->stream, this->request,
-            [self = this->shared_from_this()](ErrorCodeValue writeError, std::size_t written) {
-                if (writeError) {
-                    self->fail(writeError, written == 0 ? Outcome::NotRun : Outcome::Unknown);
+        this->connection->socket.async_connect(
+            this->endpoint, [self = this->shared_from_this()](ErrorCodeValue error) {
+                if (error || self->late) {
+                    self->fail(error, Outcome::NotRun);
                     return;
                 }
-                self->read();
+                ErrorCodeValue ignored;
+                self->connection->socket.set_option(tcp::no_delay(true), ignored);
+                self->write();
+            });
+    }
+
+    void write()
+    {
+        http::async_write(
+            this->connection->socket, this->request,
+            [self = this->shared_from_this()](ErrorCodeValue error, std::size_t written) {
+                if (!error) {
+                    self->read();
+                } else if (written > 0) {
+                    self->fail(error, Outcome::Unknown);
+                } else if (self->connection->reused && !self->late) {
+                    // Nothing was written, so another connection may be tried.
+                    self->giveBack(false);
+                    self->acquire();
+                } else {
+                    self->fail(error, Outcome::NotRun);
+                }
             });
     }
 
     void read()
     {
-        http::async_read(this->stream, this->buffer, this->parser,
+        this->parser.emplace();
+        this->parser->body_limit(this->bodyLimit);
+        this->parser->skip(this->request.method() == http::verb::head);
+        http::async_read(this->connection->socket, this->connection->buffer, *this->parser,
                          [self = this->shared_from_this()](ErrorCodeValue error, std::size_t) {
-                             if (error) {
+                             if (error || self->late) {
                                  self->fail(error, Outcome::Unknown);
-                                 return;
+                             } else if (self->parser->need_eof()) {
+                                 self->giveBack(false);
+                                 self->done(self->makeError(ErrorCode::Unavailable,
+                                                            "the response has no length",
+                                                            Outcome::Unknown));
+                             } else {
+                                 self->succeed();
                              }
-                             self->succeed();
                          });
     }
 
     void succeed()
     {
-        auto message = this->parser.release();
+        auto message = this->parser->release();
         HttpResponse response;
         response.status = message.result_int();
         for (const auto &field : message) {
@@ -99,38 +171,67 @@
             response.headers[name] = std::string(field.value());
         }
         response.body = std::move(message.body());
-        this->stream.close();
+        // Bytes after the response would be taken for the next one.
+        this->giveBack(message.keep_alive() && this->connection->buffer.size() == 0);
         this->done(std::move(response));
     }
 
     void fail(ErrorCodeValue error, Outcome outcome)
     {
-        this->stream.close();
-        const bool late = error == beast::error::timeout;
-        this->done(Error{.code = late ? ErrorCode::DeadlineExceeded : ErrorCode::Unavailable,
-                         .step = Step::Send,
-                         .peer = toString(this->address),
-                         .message = error.message(),
-                         .outcome = outcome});
+        this->giveBack(false);
+        if (this->late) {
+            this->pool->discardIdle(this->address, this->begunAt);
+            this->done(this->makeError(ErrorCode::DeadlineExceeded,
+                                       "no whole response arrived in time", outcome));
+            return;
+        }
+        this->done(this->makeError(ErrorCode::Unavailable, error.message(), outcome));
+    }
+
+    void giveBack(bool reusable)
+    {
+        *this->holds = false;
+        this->timer->cancel();
+        this->pool->release(this->address, std::exchange(this->connection, nullptr), reusable);
+    }
+
+    Error makeError(ErrorCode code, const std::string &message, Outcome outcome) const
+    {
+        return Error{.code = code,
+                     .step = Step::Send,
+                     .peer = toString(this->address),
+                     .message = message,
+                     .outcome = outcome};
     }
 
-    beast::tcp_stream stream;
+    std::shared_ptr<ConnectionPool> pool;
     Address address;
+    SteadyTime begunAt;
+    SteadyTime endsAt;
     HttpClient::Callback done;
+    tcp::endpoint endpoint;
+    std::shared_ptr<PooledConnection> connection;
+    std::optional<asio::steady_timer> timer;
+    /** Whether the present connection is held; used on its strand only. */
+    std::shared_ptr<bool> holds;
+    bool late = false;
     http::request<http::string_body> request;
-    http::response_parser<http::string_body> parser;
-    beast::flat_buffer buffer;
+    std::optional<http::response_parser<http::string_body>> parser;
+    std::uint64_t bodyLimit = 0;
 };
 
 } // namespace
 
 struct HttpClient::Impl
 {
-    asio::io_context &context;
+    std::shared_ptr<ConnectionPool> pool;
+    HttpClientLimits limits;
 };
 
-HttpClient::HttpClient(Executor &executor)
-    : impl(std::make_shared<Impl>(Impl{executor.impl().context}))
+HttpClient::HttpClient(Executor &executor, HttpClientLimits limits)
+    : impl(std::make_shared<Impl>(
+        Impl{.pool = std::make_shared<ConnectionPool>(executor.impl().context, limits),
+             .limits = limits}))
 {
 }
 
@@ -139,8 +240,8 @@
 void HttpClient::send(const Address &address, const HttpRequest &request,
                       std::chrono::milliseconds deadline, Callback done)
 {
-    std::make_shared<Exchange>(this->impl->context, address, std::move(done))
-        ->start(request, deadline);
+    std::make_shared<Exchange>(this->impl->pool, address, deadline, std::move(done))
+        ->start(request, this->impl->limits.maxResponseBody);
 }
 
 } // namespace gooseberry
--- a/libs/link/src/http_server.cpp
+++ b/libs/link/src/http_server.cpp
@@ -10,6 +10,7 @@
 
 #include <boost/asio/bind_executor.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -33,6 +34,10 @@
     return text;
 }
 
+/** The most connections above the limit that are refused at a time; further ones are closed. */
+constexpr std::size_t maxRefusals = 64;
+constexpr std::chrono::milliseconds acceptPause{50};
+
 HttpResponse plainError(unsigned status, const std::string &code, const std::string &message)
 {
     HttpResponse response;
@@ -59,6 +64,9 @@
     }
 
     void accept();
+    void open(tcp::socket socket);
+    /** Serves the connections that are waiting to be accepted and then closes the acceptor. */
+    void stopAccepting();
     void closed(const std::shared_ptr<HttpSession> &session);
     bool isDraining() const
     {
@@ -74,6 +82,8 @@
     std::mutex mutex;
     std::condition_variable allClosed;
     std::set<std::shared_ptr<HttpSession>> sessions;
+    /** False once no further session can begin. */
+    bool accepting = false;
 };
 
 /** One connection. All its steps run on its own strand. */
@@ -94,8 +104,7 @@
     {
         asio::dispatch(this->stream.get_executor(), [self = this->shared_from_this(), overLimit]() {
             if (overLimit) {
-                self->keepAlive = false;
-                self->write(plainError(503, "overloaded", "too many connections"));
+                self->refuse(503, "overloaded", "too many connections");
             } else {
                 self->readHeader();
             }
@@ -106,8 +115,17 @@
     void closeIfIdle()
     {
         asio::dispatch(this->stream.get_executor(), [self = this->shared_from_this()]() {
-            if (self->idle) {
+            // A request that has arrived but was not read yet is in flight too.
+            if (self->idle && self->served && !self->hasInput()) {
                 self->close();
+            } else if (self->idle && !self->served) {
+                const auto timer
+                    = std::make_shared<asio::steady_timer>(self->stream.get_executor(), drainGrace);
+                timer->async_wait([self, timer](ErrorCodeValue) {
+                    if (self->idle) {
+                        self->close();
+                    }
+                });
             }
         });
     }
@@ -115,7 +133,8 @@
 private:
     void readHeader()
     {
-        if (this->server->isDraining()) {
+        const bool draining = this->server->isDraining();
+        if (draining && this->served && !this->hasInput()) {
             this->close();
             return;
         }
@@ -124,7 +143,7 @@
         this->parser->header_limit(
             static_cast<std::uint32_t>(this->server->limits.maxHeader.value));
         this->parser->body_limit(static_cast<std::uint64_t>(this->server->limits.maxBody.value));
-        this->stream.expires_after(this->server->limits.idleTimeout);
+        this->stream.expires_after(draining ? drainGrace : this->server->limits.idleTimeout);
         // A first byte ends the idle time; from then on the whole request must arrive in time.
         if (this->buffer.size() > 0) {
             this->readRequest();
@@ -142,51 +161,87 @@
             });
     }
 
+    bool hasInput()
+    {
+        ErrorCodeValue ignored;
+        return this->buffer.size() > 0 || this->stream.socket().available(ignored) > 0;
+    }
+
     void readRequest()
     {
         this->idle = false;
         this->stream.expires_after(this->server->limits.readTimeout);
+        http::async_read_header(
+            this->stream, this->buffer, *this->parser,
+            [self = this->shared_from_this()](ErrorCodeValue error, std::size_t) {
+                if (error) {
+                    self->onReadError(error);
+                } else if (!self->parser->is_done()
+                           && beast::iequals(self->parser->get()[http::field::expect],
+                                             "100-continue")) {
+                    self->sendContinue();
+                } else {
+                    self->readBody();
+                }
+            });
+    }
+
+    void sendContinue()
+    {
+        this->interim.emplace(http::status::continue_, 11);
+        http::async_write(this->stream, *this->interim,
+                          [self = this->shared_from_this()](ErrorCodeValue error, std::size_t) {
+                              if (error) {
+                                  self->close();
+                              } else {
+                                  self->readBody();
+                              }
+                          });
+    }
+
+    void readBody()
+    {
         http::async_read(this->stream, this->buffer, *this->parser,
                          [self = this->shared_from_this()](ErrorCodeValue error, std::size_t) {
-                             self->onRead(error);
+                             if (error) {
+                                 self->onReadError(error);
+                             } else {
+                                 self->handle();
+                             }
                          });
     }
 
-    void onRead(ErrorCodeValue error)
+    void onReadError(ErrorCodeValue error)
     {
+        static const auto &httpCategory = make_error_code(http::error::bad_method).category();
         if (error == http::error::body_limit) {
-            this->keepAlive = false;
-            this->write(plainError(413, "too-large", "the body is larger than this server takes"));
-            return;
-        }
-        if (error == http::error::header_limit) {
-            this->keepAlive = false;
-            this->write(
-                plainError(431, "too-large", "the header is larger than this server takes"));
-            return;
-        }
-        if (error == beast::error::timeout) {
-            // Beast has closed the socket, so no response can be sent.
+            this->refuse(413, "too-large", "the body is larger than this server takes");
+        } else if (error == http::error::header_limit || error == http::error::buffer_overflow) {
+            this->refuse(431, "too-large", "the header is larger than this server takes");
+        } else if (error == http::error::partial_message) {
+            this->refuse(400, "invalid-argument", "the request ended before it was complete");
+        } else if (error.category() == httpCategory && error != http::error::end_of_stream) {
+            this->refuse(400, "invalid-argument", "the request is not valid HTTP");
+        } else {
+            // After a timeout Beast has closed the socket, so no response can be sent.
             this->close();
-            return;
-        }
-        if (error && error.category() == make_error_code(http::error::bad_method).category()
-            && error != http::error::end_of_stream && error != http::error::partial_message) {
-            this->keepAlive = false;
-            this->write(plainError(400, "invalid-argument", "the request is not valid HTTP"));
-            return;
         }
-        if (error) {
-            this->close();
-            return;
-        }
-        this->handle();
+    }
+
+    /** Answers with an error of this server and then ends the connection. */
+    void refuse(unsigned status, const std::string &code, const std::string &message)
+    {
+        this->keepAlive = false;
+        this->unreadInput = true;
+        this->write(plainError(status, code, message));
     }
 
     void handle()
     {
         auto message = this->parser->release();
         this->keepAlive = message.keep_alive();
+        this->isHead = message.method() == http::verb::head;
+        this->served = true;
         HttpRequest request;
         request.method = std::string(message.method_string());
         request.target = std::string(message.target());
@@ -218,14 +273,48 @@
         this->outgoing->keep_alive(this->keepAlive);
         this->outgoing->prepare_payload();
         this->stream.expires_after(this->server->limits.writeTimeout);
-        http::async_write(this->stream, *this->outgoing,
-                          [self = this->shared_from_this()](ErrorCodeValue error, std::size_t) {
-                              if (error || !self->keepAlive) {
-                                  self->close();
-                              } else {
-                                  self->readHeader();
-                              }
-                          });
+        this->serializer.emplace(*this->outgoing);
+        const auto onWritten = [self = this->shared_from_this()](
+                                   ErrorCodeValue error, std::size_t) { self->onWritten(error); };
+        if (this->isHead) {
+            // The header tells the length that the body of a GET would have.
+            http::async_write_header(this->stream, *this->serializer, onWritten);
+        } else {
+            http::async_write(this->stream, *this->serializer, onWritten);
+        }
+    }
+
+    void onWritten(ErrorCodeValue error)
+    {
+        if (error) {
+            this->close();
+        } else if (this->unreadInput) {
+            // Closing with unread bytes resets the connection, and the response may be lost.
+            ErrorCodeValue ignored;
+            this->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+            this->stream.expires_after(lingerTime);
+            this->discardInput();
+        } else if (!this->keepAlive) {
+            this->close();
+        } else {
+            this->isHead = false;
+            this->readHeader();
+        }
+    }
+
+    /** Reads until the other end closes or the linger time is over. */
+    void discardInput()
+    {
+        this->buffer.clear();
+        this->stream.async_read_some(
+            this->buffer.prepare(firstReadSize),
+            [self = this->shared_from_this()](ErrorCodeValue error, std::size_t) {
+                if (error) {
+                    self->close();
+                } else {
+                    self->discardInput();
+                }
+            });
     }
 
     void close()
@@ -237,15 +326,25 @@
     }
 
     static constexpr std::size_t firstReadSize = 4096;
+    /** How long a refused sender may go on sending. */
+    static constexpr std::chrono::milliseconds lingerTime{1000};
+    /** How long a new connection may take to send its first request while the server drains. */
+    static constexpr std::chrono::milliseconds drainGrace{500};
 
     beast::tcp_stream stream;
     std::shared_ptr<HttpServer::Impl> server;
     beast::flat_buffer buffer;
     std::optional<http::request_parser<http::string_body>> parser;
     std::optional<http::response<http::string_body>> outgoing;
+    std::optional<http::response_serializer<http::string_body>> serializer;
+    std::optional<http::response<http::empty_body>> interim;
     std::string peer;
     bool idle = false;
     bool keepAlive = true;
+    /** Set once a request has been read. */
+    bool served = false;
+    bool isHead = false;
+    bool unreadInput = false;
 };
 
 void HttpServer::Impl::accept()
@@ -253,23 +352,59 @@
     this->acceptor.async_accept(
         asio::make_strand(this->context),
         [self = this->shared_from_this()](ErrorCodeValue error, tcp::socket socket) {
+            if (!error) {
+                self->open(std::move(socket));
+            }
             if (error == asio::error::operation_aborted || self->isDraining()) {
                 return;
             }
             if (!error) {
-                auto session = std::make_shared<HttpSession>(std::move(socket), self);
-                bool overLimit = false;
-                {
-                    const std::lock_guard lock(self->mutex);
-                    overLimit = self->sessions.size() >= self->limits.maxConnections;
-                    self->sessions.insert(session);
-                }
-                session->start(overLimit);
+                self->accept();
+                return;
             }
-            self->accept();
+            // Out of descriptors, most likely; a pause keeps the accept loop from spinning.
+            const auto timer
+                = std::make_shared<asio::steady_timer>(self->acceptor.get_executor(), acceptPause);
+            timer->async_wait([self, timer](ErrorCodeValue) {
+                if (!self->isDraining()) {
+                    self->accept();
+                }
+            });
         });
 }
 
+void HttpServer::Impl::open(tcp::socket socket)
+{
+    auto session = std::make_shared<HttpSession>(std::move(socket), this->shared_from_this());
+    bool overLimit = false;
+    {
+        const std::lock_guard lock(this->mutex);
+        // Refusals hold a connection for a moment too, so their number is bounded as well.
+        if (this->sessions.size() >= this->limits.maxConnections + maxRefusals) {
+            return;
+        }
+        overLimit = this->sessions.size() >= this->limits.maxConnections;
+        this->sessions.insert(session);
+    }
+    session->start(overLimit);
+}
+
+void HttpServer::Impl::stopAccepting()
+{
+    // Callers whose connections the system has accepted already may have sent a request.
+    ErrorCodeValue error;
+    this->acceptor.cancel(error);
+    this->acceptor.non_blocking(true, error);
+    while (!error && this->acceptor.is_open()) {
+        tcp::socket socket(asio::make_strand(this->context));
+        this->acceptor.accept(socket, error);
+        if (!error) {
+            this->open(std::move(socket));
+        }
+    }
+    this->acceptor.close(error);
+}
+
 void HttpServer::Impl::closed(const std::shared_ptr<HttpSession> &session)
 {
     const std::lock_guard lock(this->mutex);
@@ -313,6 +448,10 @@
                      .message = "can't listen: " + error.message(),
                      .outcome = Outcome::NotRun};
     }
+    {
+        const std::lock_guard lock(this->impl->mutex);
+        this->impl->accepting = true;
+    }
     this->impl->accept();
     return Address{.host = address.host, .port = acceptor.local_endpoint().port()};
 }
@@ -321,21 +460,22 @@
 {
     this->impl->draining.store(true);
     asio::post(this->impl->acceptor.get_executor(), [server = this->impl]() {
-        ErrorCodeValue ignored;
-        server->acceptor.close(ignored);
+        server->stopAccepting();
+        std::set<std::shared_ptr<HttpSession>> open;
+        {
+            const std::lock_guard lock(server->mutex);
+            open = server->sessions;
+            server->accepting = false;
+            server->allClosed.notify_all();
+        }
+        for (const auto &session : open) {
+            session->closeIfIdle();
+        }
     });
-    std::set<std::shared_ptr<HttpSession>> open;
-    {
-        const std::lock_guard lock(this->impl->mutex);
-        open = this->impl->sessions;
-    }
-    for (const auto &session : open) {
-        session->closeIfIdle();
-    }
-    open.clear();
     std::unique_lock lock(this->impl->mutex);
-    return this->impl->allClosed.wait_for(lock, patience,
-                                          [this]() { return this->impl->sessions.empty(); });
+    return this->impl->allClosed.wait_for(lock, patience, [this]() {
+        return this->impl->sessions.empty() && !this->impl->accepting;
+    });
 }
 
 } // namespace gooseberry
--- /dev/null
+++ b/libs/link/test/http_client_test.cpp
@@ -0,0 +1,312 @@
+#include <link/link.h>
+
+#include <boost/test/unit_test.hpp>
+
+#include <atomic>
+#include <functional>
+#include <thread>
+
+#include "awaitable.h"
+#include "raw_socket.h"
+
+using namespace gooseberry;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds patience{10'000};
+const std::string emptyResponse = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+
+using Reply = Result<HttpResponse>;
+
+HttpRequest putRequest(const std::string &target = "/")
+{
+    return HttpRequest{
+        .method = "PUT", .target = target, .headers = {}, .body = "body", .peer = {}};
+}
+
+struct TestClient
+{
+    explicit TestClient(HttpClientLimits limits = {})
+        : client(this->executor, limits)
+    {
+    }
+    ~TestClient()
+    {
+        this->executor.stop();
+    }
+
+    void begin(const Address &address, milliseconds deadline = patience)
+    {
+        this->client.send(address, putRequest(), deadline, [this](const Reply &reply) {
+            this->replies.update([&](std::vector<Reply> &now) { now.push_back(reply); });
+        });
+    }
+    std::vector<Reply> await(std::size_t count)
+    {
+        BOOST_REQUIRE(this->replies.waitFor(
+            patience, [&](const std::vector<Reply> &now) { return now.size() >= count; }));
+        return this->replies.get();
+    }
+
+    Executor executor{2};
+    Awaitable<std::vector<Reply>> replies;
+    HttpClient client;
+};
+
+/** An upstream whose behaviour on its connections is a function, run by one thread. */
+class FakeUpstream
+{
+public:
+    explicit FakeUpstream(std::function<void(FakeUpstream &)> behaviour)
+        : acceptor(listenOnLoopback(this->socket.context()))
+        , thread([this, behaviour = std::move(behaviour)]() { behaviour(*this); })
+    {
+    }
+    ~FakeUpstream()
+    {
+        this->thread.join();
+    }
+    FakeUpstream(const FakeUpstream &) = delete;
+    FakeUpstream &operator=(const FakeUpstream &) = delete;
+
+    Address address() const
+    {
+        return addressOf(this->acceptor);
+    }
+    /** Takes the next connection; the earlier one is closed. */
+    bool accept()
+    {
+        this->socket.close();
+        return this->socket.accept(this->acceptor, patience);
+    }
+    bool readRequest()
+    {
+        return this->socket.readUntil("\r\n\r\nbody", patience).ends_with("body");
+    }
+
+    RawSocket socket;
+
+private:
+    boost::asio::ip::tcp::acceptor acceptor;
+    std::thread thread;
+};
+
+Error onlyError(TestClient &client)
+{
+    const std::vector<Reply> replies = client.await(1);
+    BOOST_REQUIRE_MESSAGE(!ok(replies.front()), "expected an error, got a response");
+    return errorOf(replies.front());
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(HttpClientTest)
+
+// Guards against "unknown" for a request that no one received.
+BOOST_AUTO_TEST_CASE(ReportsNotRunWhenTheConnectionIsRefused)
+{
+    RawSocket unused;
+    Address address;
+    {
+        address = addressOf(listenOnLoopback(unused.context()));
+    }
+    TestClient client;
+    client.begin(address);
+    BOOST_TEST((onlyError(client).outcome == Outcome::NotRun));
+}
+
+// Guards against a false "not-run": written bytes may have been read before the close.
+BOOST_AUTO_TEST_CASE(ReportsUnknownWhenClosedBeforeReading)
+{
+    FakeUpstream upstream([](FakeUpstream &self) {
+        self.accept();
+        self.socket.awaitInput(patience);
+        self.socket.reset();
+    });
+    TestClient client;
+    client.begin(upstream.address());
+    const Error error = onlyError(client);
+    BOOST_TEST((error.outcome == Outcome::Unknown));
+    BOOST_TEST((error.code == ErrorCode::Unavailable));
+}
+
+// Guards against a false "not-run" from an upstream that runs the request and then fails.
+BOOST_AUTO_TEST_CASE(ReportsUnknownWhenClosedAfterReading)
+{
+    FakeUpstream upstream([](FakeUpstream &self) {
+        self.accept();
+        self.readRequest();
+        self.socket.close();
+    });
+    TestClient client;
+    client.begin(upstream.address());
+    BOOST_TEST((onlyError(client).outcome == Outcome::Unknown));
+}
+
+// Guards against a false "not-run" from an upstream that is merely slow.
+BOOST_AUTO_TEST_CASE(ReportsUnknownWhenTheServerIsSilent)
+{
+    FakeUpstream upstream([](FakeUpstream &self) {
+        self.accept();
+        self.readRequest();
+        self.socket.closedWithin(patience);
+    });
+    TestClient client;
+    client.begin(upstream.address(), milliseconds(200));
+    const Error error = onlyError(client);
+    BOOST_TEST((error.outcome == Outcome::Unknown));
+    BOOST_TEST((error.code == ErrorCode::DeadlineExceeded));
+}
+
+// Guards against a part of an answer that is handed on as the whole.
+BOOST_AUTO_TEST_CASE(RefusesATruncatedResponse)
+{
+    for (const std::string response : {"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n12345",
+                                       "HTTP/1.1 200 OK\r\n\r\n12345", "HTTP/1.1 20"}) {
+        FakeUpstream upstream([&](FakeUpstream &self) {
+            self.accept();
+            self.readRequest();
+            self.socket.write(response);
+            self.socket.close();
+        });
+        TestClient client;
+        client.begin(upstream.address());
+        BOOST_TEST((onlyError(client).outcome == Outcome::Unknown));
+    }
+}
+
+// Guards against a new connection for every request.
+BOOST_AUTO_TEST_CASE(ReusesAConnection)
+{
+    FakeUpstream upstream([](FakeUpstream &self) {
+        self.accept();
+        for (int i = 0; i < 3; ++i) {
+            self.readRequest();
+            self.socket.write(emptyResponse);
+        }
+    });
+    TestClient client;
+    for (std::size_t i = 1; i <= 3; ++i) {
+        client.begin(upstream.address());
+        BOOST_TEST(ok(client.await(i).back()));
+    }
+}
+
+// Guards against a kept connection that the server has closed and that fails the next request.
+BOOST_AUTO_TEST_CASE(ReplacesAKeptConnectionThatWasClosed)
+{
+    Awaitable<bool> closed;
+    FakeUpstream upstream([&](FakeUpstream &self) {
+        self.accept();
+        self.readRequest();
+        self.socket.write(emptyResponse);
+        self.socket.close();
+        closed.update([](bool &now) { now = true; });
+        self.accept();
+        self.readRequest();
+        self.socket.write(emptyResponse);
+    });
+    TestClient client;
+    client.begin(upstream.address());
+    BOOST_TEST(ok(client.await(1).back()));
+    BOOST_REQUIRE(closed.waitFor(patience, [](bool now) { return now; }));
+    client.begin(upstream.address());
+    BOOST_TEST(ok(client.await(2).back()));
+}
+
+// Guards against a false "not-run", and against a request that the client sends a second time by
+// itself, when a kept connection fails after the request was written.
+BOOST_AUTO_TEST_CASE(SendsOnceWhenAKeptConnectionFails)
+{
+    std::atomic<int> requests{0};
+    FakeUpstream upstream([&](FakeUpstream &self) {
+        self.accept();
+        requests += self.readRequest() ? 1 : 0;
+        self.socket.write(emptyResponse);
+        requests += self.readRequest() ? 1 : 0;
+        self.socket.reset();
+    });
+    TestClient client;
+    client.begin(upstream.address());
+    BOOST_TEST(ok(client.await(1).back()));
+    client.begin(upstream.address());
+    const Reply second = client.await(2).back();
+    BOOST_REQUIRE(!ok(second));
+    BOOST_TEST((errorOf(second).outcome == Outcome::Unknown));
+    BOOST_TEST(requests.load() == 2);
+}
+
+// Guards against an upstream that gets more connections than it grants, and against "unknown" for
+// a request that never left the queue.
+BOOST_AUTO_TEST_CASE(ReportsNotRunForARequestThatOnlyWaited)
+{
+    HttpClientLimits limits;
+    limits.maxConnectionsPerAddress = 1;
+    limits.maxWaiting = 1;
+    FakeUpstream upstream([](FakeUpstream &self) {
+        self.accept();
+        self.readRequest();
+        self.socket.closedWithin(patience);
+    });
+    TestClient client(limits);
+    client.begin(upstream.address(), milliseconds(400));
+    client.begin(upstream.address(), milliseconds(100));
+    client.begin(upstream.address(), milliseconds(100));
+    const std::vector<Reply> replies = client.await(3);
+    // The third one found the queue full, the second one's deadline passed in it.
+    BOOST_TEST((errorOf(replies[0]).code == ErrorCode::Overloaded));
+    BOOST_TEST((errorOf(replies[0]).outcome == Outcome::NotRun));
+    BOOST_TEST((errorOf(replies[1]).code == ErrorCode::DeadlineExceeded));
+    BOOST_TEST((errorOf(replies[1]).outcome == Outcome::NotRun));
+    BOOST_TEST((errorOf(replies[2]).outcome == Outcome::Unknown));
+}
+
+// Guards against waiting requests that are forgotten, and against answers to other requests.
+BOOST_AUTO_TEST_CASE(ServesManyRequestsOverFewConnections)
+{
+    TestClient client(HttpClientLimits{.maxConnectionsPerAddress = 4,
+                                       .maxWaiting = 1000,
+                                       .idleLimit = milliseconds(20'000),
+                                       .maxResponseBody = Bytes(1024)});
+    Executor executor(2);
+    HttpServer server(executor, HttpServerLimits{},
+                      [](const HttpRequest &request, const HttpServer::Respond &respond) {
+                          respond(
+                              HttpResponse{.status = 200, .headers = {}, .body = request.target});
+                      });
+    const Result<Address> address = server.listen(Address{.host = "127.0.0.1", .port = 0});
+    BOOST_REQUIRE(ok(address));
+    constexpr std::size_t requestCount = 500;
+    Awaitable<std::pair<std::size_t, std::size_t>> counts;
+    for (std::size_t i = 0; i < requestCount; ++i) {
+        const std::string target = '/' + std::to_string(i);
+        client.client.send(valueOf(address), putRequest(target), patience,
+                           [&counts, target](const Reply &reply) {
+                               counts.update([&](auto &now) {
+                                   ++now.first;
+                                   now.second += ok(reply) && valueOf(reply).body == target;
+                               });
+                           });
+    }
+    BOOST_REQUIRE(
+        counts.waitFor(patience, [](const auto &now) { return now.first == requestCount; }));
+    BOOST_TEST(counts.get().second == requestCount);
+    BOOST_TEST(server.drain(patience));
+    executor.stop();
+}
+
+// Guards against header values from outside that smuggle in another header or request.
+BOOST_AUTO_TEST_CASE(RefusesLineBreaksInHeaders)
+{
+    TestClient client;
+    HttpRequest request = putRequest();
+    request.headers["x-name"] = "value\r\nx-other: value";
+    client.client.send(
+        Address{.host = "127.0.0.1", .port = 1}, request, patience, [&](const Reply &reply) {
+            client.replies.update([&](std::vector<Reply> &now) { now.push_back(reply); });
+        });
+    BOOST_TEST((onlyError(client).code == ErrorCode::InvalidArgument));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/libs/link/test/http_server_test.cpp
@@ -0,0 +1,270 @@
+#include <link/link.h>
+
+#include <boost/test/unit_test.hpp>
+
+#include <thread>
+#include <vector>
+
+#include "awaitable.h"
+#include "raw_socket.h"
+
+using namespace gooseberry;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds patience{10'000};
+const Address anyPort{.host = "127.0.0.1", .port = 0};
+
+struct Held
+{
+    std::vector<HttpServer::Respond> responders;
+};
+
+/** A server that answers with method and body, and holds requests to /hold until told. */
+struct TestServer
+{
+    explicit TestServer(HttpServerLimits limits = {})
+        : server(this->executor, limits,
+                 [this](const HttpRequest &request, const HttpServer::Respond &respond) {
+                     if (request.target == "/hold") {
+                         this->held.update([&](Held &now) { now.responders.push_back(respond); });
+                         return;
+                     }
+                     respond(HttpResponse{.status = 200,
+                                          .headers = {},
+                                          .body = request.method + ':' + request.body});
+                 })
+    {
+        const Result<Address> listening = this->server.listen(anyPort);
+        BOOST_REQUIRE(ok(listening));
+        this->address = valueOf(listening);
+    }
+    ~TestServer()
+    {
+        this->executor.stop();
+    }
+
+    bool awaitHeld()
+    {
+        return this->held.waitFor(patience,
+                                  [](const Held &now) { return !now.responders.empty(); });
+    }
+
+    Executor executor{2};
+    Awaitable<Held> held;
+    HttpServer server;
+    Address address;
+};
+
+/** Sends the bytes and returns all that the server sends until it closes. */
+std::string talk(const Address &address, const std::string &bytes)
+{
+    RawSocket socket;
+    BOOST_REQUIRE(socket.connect(address));
+    BOOST_REQUIRE(socket.write(bytes));
+    BOOST_TEST(socket.closedWithin(patience));
+    return socket.rest();
+}
+
+void checkRefusal(const std::string &response, const std::string &status, const std::string &code)
+{
+    BOOST_TEST(response.starts_with("HTTP/1.1 " + status), "got: " << response);
+    BOOST_TEST((response.find("\"code\":\"" + code + '"') != std::string::npos),
+               "got: " << response);
+    BOOST_TEST((response.find(R"("outcome":"not-run")") != std::string::npos));
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(HttpServerTest)
+
+// Guards against bytes of another protocol that are left without an answer or end the server.
+BOOST_AUTO_TEST_CASE(RefusesBytesThatAreNotHttp)
+{
+    TestServer server;
+    checkRefusal(talk(server.address, "\x16\x03\x01 not http at all\r\n\r\n"), "400",
+                 "invalid-argument");
+    BOOST_TEST(
+        talk(server.address, "GET / HTTP/1.1\r\nConnection: close\r\n\r\n").ends_with("GET:"));
+}
+
+// Guards against a header that fills the memory.
+BOOST_AUTO_TEST_CASE(RefusesAnOversizeHeader)
+{
+    TestServer server;
+    const std::string header(32UL * 1024, 'x');
+    checkRefusal(talk(server.address, "GET / HTTP/1.1\r\nLarge: " + header + "\r\n\r\n"), "431",
+                 "too-large");
+}
+
+// Guards against a body that fills the memory, and against a refusal that the sender never sees
+// because its unread bytes reset the connection.
+BOOST_AUTO_TEST_CASE(RefusesAnOversizeBody)
+{
+    HttpServerLimits limits;
+    limits.maxBody = Bytes(1000);
+    TestServer server(limits);
+    const std::string body(2000, 'x');
+    checkRefusal(talk(server.address, "PUT / HTTP/1.1\r\nContent-Length: 2000\r\n\r\n" + body),
+                 "413", "too-large");
+    checkRefusal(talk(server.address,
+                      "PUT / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n7d0\r\n" + body
+                          + "\r\n0\r\n\r\n"),
+                 "413", "too-large");
+}
+
+// Guards against a request that was cut off and is handled as if it were whole.
+BOOST_AUTO_TEST_CASE(HandlesNoTruncatedRequest)
+{
+    TestServer server;
+    RawSocket socket;
+    BOOST_REQUIRE(socket.connect(server.address));
+    BOOST_REQUIRE(socket.write("POST /hold HTTP/1.1\r\nContent-Length: 10\r\n\r\n12345"));
+    socket.finishWriting();
+    BOOST_TEST(socket.closedWithin(patience));
+    checkRefusal(socket.rest(), "400", "invalid-argument");
+    BOOST_TEST(server.held.get().responders.empty());
+}
+
+// Guards against senders that trickle bytes and keep a connection for as long as they like, or
+// that hold up other callers.
+BOOST_AUTO_TEST_CASE(CutsASlowSenderAndServesOthers)
+{
+    HttpServerLimits limits;
+    limits.readTimeout = milliseconds(300);
+    TestServer server(limits);
+    RawSocket slow;
+    BOOST_REQUIRE(slow.connect(server.address));
+    const SteadyTime began = std::chrono::steady_clock::now();
+    bool cut = false;
+    while (!cut && std::chrono::steady_clock::now() - began < patience) {
+        slow.write("G");
+        // The wait for the end of the connection is also the pause between two bytes.
+        cut = slow.closedWithin(milliseconds(50));
+        BOOST_TEST(
+            talk(server.address, "GET / HTTP/1.1\r\nConnection: close\r\n\r\n").ends_with("GET:"));
+    }
+    BOOST_TEST(cut);
+    BOOST_TEST((std::chrono::steady_clock::now() - began) < limits.readTimeout * 4);
+}
+
+// Guards against one caller's connections that take those of all others, and against a refusal
+// without a reason.
+BOOST_AUTO_TEST_CASE(RefusesConnectionsAboveTheLimit)
+{
+    HttpServerLimits limits;
+    limits.maxConnections = 2;
+    TestServer server(limits);
+    RawSocket first;
+    RawSocket second;
+    for (RawSocket *socket : {&first, &second}) {
+        BOOST_REQUIRE(socket->connect(server.address));
+        BOOST_REQUIRE(socket->write("GET / HTTP/1.1\r\n\r\n"));
+        BOOST_REQUIRE(socket->readUntil("GET:", patience).ends_with("GET:"));
+    }
+    checkRefusal(talk(server.address, "GET / HTTP/1.1\r\n\r\n"), "503", "overloaded");
+    BOOST_REQUIRE(first.write("GET / HTTP/1.1\r\n\r\n"));
+    BOOST_TEST(first.readUntil("GET:", patience).ends_with("GET:"));
+}
+
+// Guards against pipelined requests that are lost or answered in another order.
+BOOST_AUTO_TEST_CASE(AnswersPipelinedRequestsInOrder)
+{
+    TestServer server;
+    const std::string response
+        = talk(server.address,
+               "PUT / HTTP/1.1\r\nContent-Length: 3\r\n\r\none"
+               "PUT / HTTP/1.1\r\nContent-Length: 3\r\n\r\ntwo"
+               "PUT / HTTP/1.1\r\nContent-Length: 5\r\nConnection: close\r\n\r\nthree");
+    const std::size_t first = response.find("PUT:one");
+    const std::size_t second = response.find("PUT:two");
+    BOOST_TEST((first != std::string::npos && second != std::string::npos && first < second));
+    BOOST_TEST(response.ends_with("PUT:three"));
+}
+
+// Guards against a body after a response to HEAD, which the caller would take for the next one.
+BOOST_AUTO_TEST_CASE(SendsNoBodyAfterHead)
+{
+    TestServer server;
+    const std::string response = talk(server.address,
+                                      "HEAD / HTTP/1.1\r\n\r\n"
+                                      "GET / HTTP/1.1\r\nConnection: close\r\n\r\n");
+    BOOST_TEST((response.find("Content-Length: 5\r\n") != std::string::npos));
+    BOOST_TEST((response.find("HEAD:") == std::string::npos));
+    BOOST_TEST(response.ends_with("GET:"));
+}
+
+// Guards against callers that wait for the go-ahead before they send a body.
+BOOST_AUTO_TEST_CASE(AnswersExpectContinue)
+{
+    HttpServerLimits limits;
+    limits.maxBody = Bytes(1000);
+    TestServer server(limits);
+    RawSocket socket;
+    BOOST_REQUIRE(socket.connect(server.address));
+    BOOST_REQUIRE(
+        socket.write("PUT / HTTP/1.1\r\nContent-Length: 4\r\nExpect: 100-continue\r\n\r\n"));
+    BOOST_TEST(socket.readUntil("\r\n\r\n", patience).starts_with("HTTP/1.1 100 "));
+    BOOST_REQUIRE(socket.write("body"));
+    BOOST_TEST(socket.readUntil("PUT:body", patience).ends_with("PUT:body"));
+    checkRefusal(talk(server.address,
+                      "PUT / HTTP/1.1\r\nContent-Length: 2000\r\nExpect: 100-continue\r\n\r\n"),
+                 "413", "too-large");
+}
+
+// Guards against a planned stop that cuts a request in flight.
+BOOST_AUTO_TEST_CASE(DrainLetsARequestInFlightFinish)
+{
+    TestServer server;
+    RawSocket busy;
+    RawSocket idle;
+    BOOST_REQUIRE(busy.connect(server.address));
+    BOOST_REQUIRE(idle.connect(server.address));
+    BOOST_REQUIRE(idle.write("GET / HTTP/1.1\r\n\r\n"));
+    BOOST_REQUIRE(idle.readUntil("GET:", patience).ends_with("GET:"));
+    BOOST_REQUIRE(busy.write("GET /hold HTTP/1.1\r\n\r\n"));
+    BOOST_REQUIRE(server.awaitHeld());
+    bool drained = false;
+    std::thread stopping([&]() { drained = server.server.drain(patience); });
+    BOOST_TEST(idle.closedWithin(patience));
+    server.held.get().responders.front()(
+        HttpResponse{.status = 200, .headers = {}, .body = "whole answer"});
+    BOOST_TEST(busy.closedWithin(patience));
+    BOOST_TEST(busy.rest().ends_with("whole answer"));
+    stopping.join();
+    BOOST_TEST(drained);
+    RawSocket late;
+    BOOST_TEST(!late.connect(server.address));
+}
+
+// Guards against a drain that claims to be complete while a request still runs.
+BOOST_AUTO_TEST_CASE(DrainReportsARequestThatOutlastsIt)
+{
+    TestServer server;
+    RawSocket busy;
+    BOOST_REQUIRE(busy.connect(server.address));
+    BOOST_REQUIRE(busy.write("GET /hold HTTP/1.1\r\n\r\n"));
+    BOOST_REQUIRE(server.awaitHeld());
+    BOOST_TEST(!server.server.drain(milliseconds(50)));
+}
+
+// Guards against a drain that cuts requests which the system had accepted but the server had not
+// read yet: each request must be answered, or its connection must never have been made.
+BOOST_AUTO_TEST_CASE(DrainAnswersRequestsThatHaveArrived)
+{
+    TestServer server;
+    std::vector<std::unique_ptr<RawSocket>> sockets;
+    for (int i = 0; i < 50; ++i) {
+        sockets.push_back(std::make_unique<RawSocket>());
+        BOOST_REQUIRE(sockets.back()->connect(server.address));
+        BOOST_REQUIRE(sockets.back()->write("GET / HTTP/1.1\r\n\r\n"));
+    }
+    BOOST_TEST(server.server.drain(patience));
+    for (const auto &socket : sockets) {
+        BOOST_TEST(socket->closedWithin(patience));
+        BOOST_TEST(socket->rest().ends_with("GET:"));
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/libs/link/test/raw_socket.cpp
+++ b/libs/link/test/raw_socket.cpp
@@ -55,6 +55,15 @@
     return !error;
 }
 
+bool RawSocket::awaitInput(std::chrono::milliseconds limit)
+{
+    bool arrived = false;
+    this->socket.async_wait(tcp::socket::wait_read,
+                            [&arrived](ErrorCodeValue error) { arrived = !error; });
+    this->run(limit);
+    return arrived;
+}
+
 std::string RawSocket::read(std::size_t size, std::chrono::milliseconds limit)
 {
     std::string bytes(size, '\0');
@@ -86,6 +95,12 @@
     return ended;
 }
 
+void RawSocket::finishWriting()
+{
+    ErrorCodeValue ignored;
+    this->socket.shutdown(tcp::socket::shutdown_send, ignored);
+}
+
 void RawSocket::close()
 {
     ErrorCodeValue ignored;
--- a/libs/link/test/raw_socket.h
+++ b/libs/link/test/raw_socket.h
@@ -20,6 +20,8 @@
     /** Takes the next connection of the acceptor, which must use context(). */
     bool accept(boost::asio::ip::tcp::acceptor &acceptor, std::chrono::milliseconds limit);
     bool write(const std::string &bytes);
+    /** Waits until bytes have arrived, without reading them. */
+    bool awaitInput(std::chrono::milliseconds limit);
     /** Reads this many bytes; fewer when the connection ends or the limit passes. */
     std::string read(std::size_t size, std::chrono::milliseconds limit);
     /** Reads until the given bytes were read; returns all that was read. */
@@ -31,6 +33,8 @@
     {
         return this->remaining;
     }
+    /** Ends the sending direction only. */
+    void finishWriting();
     void close();
     /** Closes with a reset, so that the other end loses what it has not read. */
     void reset();
