Release sessions when an HTTP server is destroyed

A server and its sessions hold each other, so a session that is open when the executor stops is never freed. The destructor now drops its references. The HTTP cases were not run in the thread variant, and the release variant was not run after this change.

--- a/libs/link/src/http_server.cpp
+++ b/libs/link/src/http_server.cpp
@@ -422,6 +422,12 @@
 HttpServer::~HttpServer()
 {
     this->drain(std::chrono::milliseconds(0));
+    // A session holds the server's state, so a request that is never answered would keep both.
+    std::set<std::shared_ptr<HttpSession>> open;
+    {
+        const std::lock_guard lock(this->impl->mutex);
+        open.swap(this->impl->sessions);
+    }
 }
 
 Result<Address> HttpServer::listen(const Address &address)
