--- a/libs/gateway/test/bad_input_test.cpp
+++ b/libs/gateway/test/bad_input_test.cpp
@@ -41,20 +41,24 @@
     void sendStart(const InstanceId &, const Address &, const StartMessage &, Callback) override
     {
     }
+    void sendStop(const Address &, const AttemptId &) override
+    {
+    }
 };
 
 struct GatewayFixture
 {
     GatewayFixture()
         : log(state)
-        , coordinator(state, log, port, clock, CoordinatorSettings{})
+        , coordinator(state, log, port, clock, observer, CoordinatorSettings{})
         , gateway(coordinator, state, GatewaySettings{})
     {
         this->coordinator.beginTerm(Term(1));
         this->send("PUT", "/v1/config?version=1", R"(domains: [{name: d1, region: r}]
 customers:
   - name: c
-    teams: [{name: t, limit: {cores: 16, memoryMiB: 1024}}, {name: u, limit: {cores: 1}}]
+    teams: [{name: t, limit: {cores: 16, memory: 1GiB, slots: 100}},
+            {name: u, limit: {cores: 1, memory: 1GiB, slots: 1}}]
     queues:
       - {name: q, team: t, classes: [batch], maxPendingTasks: 2}
 )");
@@ -101,6 +105,7 @@
     CellState state;
     SilentPort port;
     ImmediateLog log;
+    NullObserver observer;
     Coordinator coordinator;
     HttpGateway gateway;
     std::map<std::string, std::string> keys;
--- a/libs/policy/include/policy/admission.h
+++ b/libs/policy/include/policy/admission.h
@@ -25,7 +25,7 @@
     /** Waiting tasks from which on work is shed, lowest class first; 0 sheds nothing. */
     std::uint32_t shedAbove = 0;
     /** When nothing could ever fit, the dimension that the refusal names; nothing if unknown. */
-    std::optional<Dimension> shortage;
+    std::optional<Dimension> shortage{};
 };
 
 /** Returns how many waiting tasks the cell tolerates before it sheds new work of the class. */
--- a/libs/protocol/gen-cpp/gooseberry_types.cpp
+++ b/libs/protocol/gen-cpp/gooseberry_types.cpp
@@ -6973,6 +6973,10 @@
   this->outcome = val;
 }
 
+void Error::__set_reason(const std::string& val) {
+  this->reason = val;
+}
+
 uint32_t Error::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
@@ -6990,6 +6994,7 @@
   bool isset_peer = false;
   bool isset_message = false;
   bool isset_outcome = false;
+  bool isset_reason = false;
 
   while (true)
   {
@@ -7039,6 +7044,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->reason);
+          isset_reason = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7058,6 +7071,8 @@
     throw TProtocolException(TProtocolException::INVALID_DATA);
   if (!isset_outcome)
     throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_reason)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
@@ -7086,6 +7101,10 @@
   xfer += oprot->writeI32(this->outcome);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("reason", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->reason);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7098,6 +7117,7 @@
   swap(a.peer, b.peer);
   swap(a.message, b.message);
   swap(a.outcome, b.outcome);
+  swap(a.reason, b.reason);
 }
 
 Error::Error(const Error& other284) {
@@ -7106,6 +7126,7 @@
   peer = other284.peer;
   message = other284.message;
   outcome = other284.outcome;
+  reason = other284.reason;
 }
 Error::Error(Error&& other285) noexcept {
   code = other285.code;
@@ -7113,6 +7134,7 @@
   peer = std::move(other285.peer);
   message = std::move(other285.message);
   outcome = other285.outcome;
+  reason = std::move(other285.reason);
 }
 Error& Error::operator=(const Error& other286) {
   code = other286.code;
@@ -7120,6 +7142,7 @@
   peer = other286.peer;
   message = other286.message;
   outcome = other286.outcome;
+  reason = other286.reason;
   return *this;
 }
 Error& Error::operator=(Error&& other287) noexcept {
@@ -7128,6 +7151,7 @@
   peer = std::move(other287.peer);
   message = std::move(other287.message);
   outcome = other287.outcome;
+  reason = std::move(other287.reason);
   return *this;
 }
 
--- a/libs/protocol/gen-cpp/gooseberry_types.h
+++ b/libs/protocol/gen-cpp/gooseberry_types.h
@@ -2463,7 +2463,8 @@
           step(0),
           peer(),
           message(),
-          outcome(0) {
+          outcome(0),
+          reason() {
   }
 
   virtual ~Error() noexcept;
@@ -2472,6 +2473,7 @@
   std::string peer;
   std::string message;
   int32_t outcome;
+  std::string reason;
 
   void __set_code(const int32_t val);
 
@@ -2483,6 +2485,8 @@
 
   void __set_outcome(const int32_t val);
 
+  void __set_reason(const std::string& val);
+
   bool operator == (const Error & rhs) const
   {
     if (!(code == rhs.code))
@@ -2495,6 +2499,8 @@
       return false;
     if (!(outcome == rhs.outcome))
       return false;
+    if (!(reason == rhs.reason))
+      return false;
     return true;
   }
   bool operator != (const Error &rhs) const {
--- a/libs/protocol/gooseberry.thrift
+++ b/libs/protocol/gooseberry.thrift
@@ -321,6 +321,7 @@
     3: required string peer
     4: required string message
     5: required i32 outcome // Outcome
+    6: required string reason
 }
 
 struct Forward {
--- a/libs/protocol/src/convert_peer.cpp
+++ b/libs/protocol/src/convert_peer.cpp
@@ -58,6 +58,7 @@
     out.peer = error.peer;
     out.message = error.message;
     out.outcome = wireEnum(outcomes, error.outcome);
+    out.reason = error.reason;
     return out;
 }
 
@@ -67,7 +68,8 @@
                  .step = plainEnum(steps, in.step),
                  .peer = std::move(in.peer),
                  .message = std::move(in.message),
-                 .outcome = plainEnum(outcomes, in.outcome)};
+                 .outcome = plainEnum(outcomes, in.outcome),
+                 .reason = std::move(in.reason)};
 }
 
 wire::HttpRequest toWire(const HttpRequest &request)
--- a/libs/protocol/test/message_generators.cpp
+++ b/libs/protocol/test/message_generators.cpp
@@ -128,7 +128,8 @@
                  .step = oneOf({Step::Settings, Step::Forward, Step::Recover}),
                  .peer = any<std::string>(),
                  .message = any<std::string>(),
-                 .outcome = oneOf({Outcome::NotRun, Outcome::Unknown})};
+                 .outcome = oneOf({Outcome::NotRun, Outcome::Unknown}),
+                 .reason = any<std::string>()};
 }
 
 QuorumMessage election()
