--- a/apps/stub_worker/src/stub_worker.cpp
+++ b/apps/stub_worker/src/stub_worker.cpp
@@ -1,7 +1,6 @@
 #include "stub_worker.h"
 
 #include <boost/json.hpp>
-#include <condition_variable>
 #include <spdlog/spdlog.h>
 #include <unistd.h>
 
@@ -75,12 +74,8 @@
     request.method = "DELETE";
     request.target = "/v1/workers/" + this->settings.id;
     this->sendToControl(std::move(request), [](const Result<HttpResponse> &) {});
-    const SteadyTime end = std::chrono::steady_clock::now() + patience;
-    std::condition_variable idle;
     std::unique_lock lock(this->mutex);
-    while (!this->held.empty() && std::chrono::steady_clock::now() < end) {
-        idle.wait_for(lock, retryDelay);
-    }
+    this->nothingHeld.wait_for(lock, patience, [this]() { return this->held.empty(); });
 }
 
 void StubWorker::handle(const HttpRequest &request, const HttpServer::Respond &respond)
@@ -180,6 +175,9 @@
         }
         const std::lock_guard lock(this->mutex);
         this->held.erase(attempt);
+        if (this->held.empty()) {
+            this->nothingHeld.notify_all();
+        }
     });
 }
 
@@ -223,10 +221,13 @@
                 stop.emplace_back(item.as_string());
             }
         }
+        // Tasks end with the lease, also while a report is still waiting for its reply.
+        this->executor.after(this->leaseEnd - std::chrono::steady_clock::now(),
+                             [this]() { this->endIfLeaseExpired(); });
     } else {
         next = announcement ? retryDelay : this->settings.heartbeatInterval;
         const std::lock_guard lock(this->mutex);
-        if (ok(result) && valueOf(result).status == 404) {
+        if (ok(result) && valueOf(result).status == 404 && !this->departing) {
             this->announced = false;
             next = retryDelay;
         }
--- a/apps/stub_worker/src/stub_worker.h
+++ b/apps/stub_worker/src/stub_worker.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <condition_variable>
 #include <fstream>
 #include <map>
 #include <mutex>
@@ -73,6 +74,7 @@
     std::string incarnation;
 
     std::mutex mutex;
+    std::condition_variable nothingHeld;
     std::ofstream records;
     std::map<std::string, Held> held;
     SteadyTime leaseEnd;
--- a/libs/link/src/http_server.cpp
+++ b/libs/link/src/http_server.cpp
@@ -82,6 +82,8 @@
     std::mutex mutex;
     std::condition_variable allClosed;
     std::set<std::shared_ptr<HttpSession>> sessions;
+    /** Set when the server is destroyed; a session that began later would never be released. */
+    bool released = false;
     /** False once no further session can begin. */
     bool accepting = false;
 };
@@ -380,7 +382,7 @@
     {
         const std::lock_guard lock(this->mutex);
         // Refusals hold a connection for a moment too, so their number is bounded as well.
-        if (this->sessions.size() >= this->limits.maxConnections + maxRefusals) {
+        if (this->released || this->sessions.size() >= this->limits.maxConnections + maxRefusals) {
             return;
         }
         overLimit = this->sessions.size() >= this->limits.maxConnections;
@@ -427,6 +429,7 @@
     {
         const std::lock_guard lock(this->impl->mutex);
         open.swap(this->impl->sessions);
+        this->impl->released = true;
     }
 }
 
