Compare the leader's last news without overflow

Cause: the time of a leader that was never heard is the earliest time point, and the difference to now overflowed. Seen by UBSan at the start of every instance with peers: all 23 system tests failed under the address sanitizer, while the release build wrapped around silently. The sum of the time and its limit is compared instead.

The restart benchmark's function returns a std::chrono type.

--- a/libs/control/src/cell_network.cpp
+++ b/libs/control/src/cell_network.cpp
@@ -23,6 +23,14 @@
         .code = code, .step = Step::Forward, .peer = peer, .message = message, .outcome = outcome};
 }
 
+/** Returns whether the time lies within the limit. A time that was never set is the earliest one.
+ */
+bool isWithin(SteadyTime heardAt, std::chrono::seconds limit, SteadyTime now)
+{
+    // The difference to the earliest time would overflow; the sum does not.
+    return now < heardAt + limit;
+}
+
 std::chrono::seconds deadlineOf(const HttpRequest &request)
 {
     const bool waits
@@ -125,11 +133,11 @@
     const SteadyTime now = this->clock.steadyNow();
     if (this->replica != nullptr) {
         const ReplicaStatus status = this->replica->status();
-        const bool fresh = now - status.leaderHeardAt < leaderSilenceLimit;
+        const bool fresh = isWithin(status.leaderHeardAt, leaderSilenceLimit, now);
         return fresh ? status.leader : std::nullopt;
     }
     const std::lock_guard lock(this->hintMutex);
-    return now - this->hint.heardAt < leaderSilenceLimit ? this->hint.leader : std::nullopt;
+    return isWithin(this->hint.heardAt, leaderSilenceLimit, now) ? this->hint.leader : std::nullopt;
 }
 
 void CellNetwork::step()
@@ -152,7 +160,7 @@
         this->nextHints = now + hintInterval;
     }
     const ReplicaStatus status = this->replica->status();
-    if (!status.leader || now - status.leaderHeardAt >= hintFreshness) {
+    if (!status.leader || !isWithin(status.leaderHeardAt, hintFreshness, now)) {
         return;
     }
     const std::string frame
--- a/libs/quorum/bench/quorum_bench.cpp
+++ b/libs/quorum/bench/quorum_bench.cpp
@@ -118,7 +118,7 @@
 }
 
 /** From the start of a lone replica until it has applied all and leads. */
-double restartSeconds(int entries, bool snapshot)
+std::chrono::duration<double> restartTime(int entries, bool snapshot)
 {
     InProcessCell cell({"only"});
     const std::string payload(120, 'x');
@@ -138,7 +138,7 @@
     const auto begin = BenchClock::now();
     cell.startAll();
     cell.node(cell.waitForLeader())->machine.waitForCommands(static_cast<std::size_t>(entries));
-    return secondsSince(begin);
+    return BenchClock::now() - begin;
 }
 
 void printRestart(const char *name, int entries, bool snapshot)
@@ -147,7 +147,7 @@
     std::vector<double> seconds;
     seconds.reserve(runs);
     for (int run = 0; run < runs; ++run) {
-        seconds.push_back(restartSeconds(entries, snapshot));
+        seconds.push_back(restartTime(entries, snapshot).count());
     }
     printLatencies(name, seconds);
 }
