Send a voter again what it had acknowledged and lost

Cause: a voter whose last, acknowledged record was cut from its log refused every append, and the leader never went back below what it had acknowledged, so the two of them committed nothing while a third voter was down. Found by the system test that cuts three bytes from a log: under the address sanitizer it failed 3 of 3 times with no answer within 10 s.

After: the system test passes 3 of 3 times, all quorum tests pass, broken variants included, under the address sanitizer. The cell commits again, but a disk that loses synced records stays outside what the log promises to survive.

--- a/libs/quorum/src/replication.cpp
+++ b/libs/quorum/src/replication.cpp
@@ -1,6 +1,7 @@
 #include "replication.h"
 
 #include <algorithm>
+#include <iterator>
 
 #include "commit_rule.h"
 #include "election.h"
@@ -182,6 +183,11 @@
         peer.next = std::max(peer.next, LogIndex(peer.match.value + 1));
         advanceCommit(state);
     } else if (message.matchIndex.value + 1 < peer.next.value) {
+        if (sent == std::prev(state.leadership.roundSentAt.end())) {
+            // The reply to the latest round is no delayed one: the peer has lost the end of its
+            // log, although it had acknowledged it, and needs those entries again.
+            peer.match = std::min(peer.match, message.matchIndex);
+        }
         peer.next = LogIndex(std::max(message.matchIndex, peer.match).value + 1);
     }
 }
