--- a/libs/base/include/base/clock.h
+++ b/libs/base/include/base/clock.h
@@ -8,7 +8,10 @@
 
 using Duration = std::chrono::steady_clock::duration;
 
-/** Time for deadlines and leases. It never goes back. */
+/**
+ * Time for deadlines and leases. It never goes back, and it goes on while the machine is suspended.
+ * Read it from a Clock: the readings of std::chrono::steady_clock don't count suspended time.
+ */
 using SteadyTime = std::chrono::steady_clock::time_point;
 
 /** Time for display and logs only. Operators may set it back. */
--- a/libs/base/src/clock.cpp
+++ b/libs/base/src/clock.cpp
@@ -1,10 +1,15 @@
 #include <base/clock.h>
 
+#include <ctime>
+
 namespace gooseberry {
 
 SteadyTime SystemClock::steadyNow() const
 {
-    return std::chrono::steady_clock::now();
+    // CLOCK_MONOTONIC stands still while a machine is suspended, and a lease must not.
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return SteadyTime(std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec));
 }
 
 WallTime SystemClock::wallNow() const
--- /dev/null
+++ b/libs/cluster/include/cluster/cell_links.h
@@ -0,0 +1,120 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+
+#include <cluster/node_settings.h>
+#include <link/link.h>
+#include <quorum/quorum.h>
+
+namespace gooseberry {
+
+/** What one node asks of another one. */
+enum class RequestKind : char {
+    Caller = 'c',
+    Operator = 'o',
+    Announcement = 'w',
+    Advice = 'a',
+};
+
+/** Answers a request; an error with code NotLeader sends the asker to the leader. */
+using ServeRequest = std::function<void(RequestKind, const std::string &,
+                                        std::function<void(Result<std::string>)>)>;
+
+/**
+ * The links between the nodes of a cell that has no list of its members. A node knows some seeds;
+ * from the leader's beacons it learns who keeps the log and who leads. A node that has a data
+ * folder and is no voter asks the leader to become one, and the leader keeps the voters complete.
+ */
+class CellLinks : public ReplicaTransport
+{
+public:
+    CellLinks(Executor &initialExecutor, const Clock &initialClock,
+              const NodeSettings &initialSettings, ServeRequest initialServe);
+
+    /** Sets the replica of this node, if it has one. Must be called before start(). */
+    void connect(Replica *initialReplica);
+    Status start();
+    void stop();
+    /** Replaces the seeds, which may move while the node runs. */
+    void setSeeds(const std::vector<Address> &seeds);
+
+    void send(const InstanceId &to, QuorumMessage message) override;
+
+    const InstanceId &self() const;
+    /** Returns the leader, if this node has heard of it lately. */
+    std::optional<InstanceId> leader() const;
+    /** Returns where the leader takes the reports of workers. */
+    std::optional<Address> leaderReports() const;
+    /** Returns the nodes that there is a link with. */
+    std::set<InstanceId> connectedNodes() const;
+
+    /**
+     * Asks the leader, which may be this node, and asks again until the deadline, so the request
+     * must be idempotent. The error's outcome is NotRun only if no attempt can have had an effect.
+     */
+    void askLeader(RequestKind kind, std::string request, SteadyTime deadline,
+                   std::function<void(Result<std::string>)> done);
+    /** Asks one node once. */
+    void askNode(const InstanceId &node, RequestKind kind, const std::string &request,
+                 std::chrono::milliseconds patience, std::function<void(Result<std::string>)> done);
+
+private:
+    struct Question;
+
+    void attempt(const std::shared_ptr<Question> &question);
+    void answered(const std::shared_ptr<Question> &question, Result<std::string> result);
+    void onFrame(const InstanceId &from, const std::string &frame);
+    void onRequest(const std::string &frame, const PeerHandlers::Reply &reply);
+    void onBeacon(const std::string &bytes);
+    void onJoin(const std::string &bytes);
+    void scheduleStep();
+    void step();
+    void sendBeacons(const ReplicaStatus &status);
+    void askToJoin(const ReplicaStatus &status);
+    void repairMembership(const ReplicaStatus &status);
+    void updatePeers();
+
+    struct Hint
+    {
+        InstanceId leader;
+        Term term;
+        SteadyTime heardAt;
+        std::optional<Address> reports;
+        std::map<InstanceId, DiskId> voters;
+    };
+    struct Joining
+    {
+        DiskId disk;
+        SteadyTime askedAt;
+    };
+
+    Executor &executor;
+    const Clock &clock;
+    const NodeSettings settings;
+    const InstanceId ownId;
+    ServeRequest serve;
+    Replica *replica = nullptr;
+    std::unique_ptr<PeerNetwork> network;
+
+    mutable std::mutex mutex; ///< Guards the members below.
+    bool stopped = false;
+    std::set<InstanceId> seedIds;
+    std::set<InstanceId> keepers;
+    std::set<InstanceId> connected;
+    std::map<InstanceId, Address> dialled;
+    std::map<InstanceId, Joining> joining;
+    Hint hint;
+    SteadyTime nextBeacon;
+    SteadyTime nextJoin;
+    Term ledTerm;
+    SteadyTime ledSince;
+    bool changeUnderWay = false;
+};
+
+} // namespace gooseberry
--- /dev/null
+++ b/libs/cluster/include/cluster/cluster.h
@@ -0,0 +1,12 @@
+#pragma once
+
+// A node of a cell that finds its members by itself, and the requests that front ends pass to it.
+
+#include <cluster/advice_router.h>
+#include <cluster/cell_links.h>
+#include <cluster/cluster_node.h>
+#include <cluster/leader_desk.h>
+#include <cluster/membership_step.h>
+#include <cluster/node_settings.h>
+#include <cluster/requests.h>
+#include <cluster/workflow_log.h>
--- /dev/null
+++ b/libs/cluster/include/cluster/cluster_node.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <cluster/advice_router.h>
+#include <cluster/cell_links.h>
+#include <cluster/leader_desk.h>
+#include <cluster/node_settings.h>
+#include <cluster/workflow_log.h>
+
+namespace gooseberry {
+
+/**
+ * One node of a cell: its links, its part of the log if it has a data folder, and the leader's
+ * duties while it leads. Front ends pass typed requests to it, on any node.
+ */
+class ClusterNode
+{
+public:
+    /** The orders and the adviser are how this node reaches workers and the adviser. */
+    ClusterNode(NodeSettings initialSettings, const Clock &initialClock, Executor &initialExecutor,
+                WorkerOrders &initialOrders, AdviserAccess &initialAdviser);
+    ~ClusterNode();
+
+    ClusterNode(const ClusterNode &) = delete;
+    ClusterNode &operator=(const ClusterNode &) = delete;
+
+    /** Recovers what is stored and joins the cell. */
+    Status start();
+    /** Hands leadership over and reports itself as not ready, while it goes on serving. */
+    void prepareStop();
+    void stop();
+    void setSeeds(const std::vector<Address> &seeds);
+
+    /** Returns whether callers should come here: a leader is known and no stop is under way. */
+    bool ready() const;
+
+    void handle(const CallerRequest &request, std::chrono::milliseconds patience,
+                std::function<void(CallerReply)> done);
+    void handle(const OperatorRequest &request, std::chrono::milliseconds patience,
+                std::function<void(Result<OperatorReply>)> done);
+    void handle(const WorkerNotice &report, std::chrono::milliseconds patience,
+                std::function<void(Result<WorkerNoticeReply>)> done);
+
+    /** Returns the node's metrics in the text format of Prometheus. */
+    std::string metrics() const;
+
+private:
+    void serve(RequestKind kind, const std::string &request,
+               std::function<void(Result<std::string>)> done);
+    void applied(const WorkflowCommand &command, const CommandOutcome &outcome);
+
+    const NodeSettings settings;
+    const Clock &clock;
+    Executor &executor;
+    AdviserAccess &adviser;
+    WorkflowState state;
+    CellLinks links;
+    AdviceRouter router;
+    WorkflowLog log;
+    Dispatcher dispatcher;
+    LeaderDesk desk;
+    /** Empty on a node without a data folder. */
+    std::unique_ptr<Replica> replica;
+    std::atomic<bool> stopping{false};
+    std::atomic<std::uint64_t> requestsServed{0};
+    std::atomic<std::uint64_t> requestsRefused{0};
+};
+
+} // namespace gooseberry
--- /dev/null
+++ b/libs/cluster/include/cluster/workflow_log.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <array>
+#include <atomic>
+#include <map>
+#include <mutex>
+
+#include <dispatch/dispatch.h>
+#include <quorum/quorum.h>
+#include <workflow/workflow.h>
+
+namespace gooseberry {
+
+/** What the log tells its owner. All calls come from the replica's apply thread. */
+struct LogEvents
+{
+    std::function<void(const WorkflowCommand &, const CommandOutcome &)> applied;
+    std::function<void(Term)> termBegan;
+    std::function<void()> termEnded;
+};
+
+/**
+ * The commands of the cell on top of the replicated log: encodes them, stamps them with the cell's
+ * time, applies the committed ones and tells the proposer the outcome. Outcomes that are awaited
+ * are in shards, each under its own lock.
+ */
+class WorkflowLog : public CommandSink, public StateMachine
+{
+public:
+    /** The origin must differ between nodes and between starts of one node. */
+    WorkflowLog(WorkflowState &initialState, const Clock &initialClock, std::uint64_t initialOrigin,
+                LogEvents initialEvents);
+
+    /** Sets the replica; without one, all proposals are refused. */
+    void connect(Replica *initialReplica);
+
+    void propose(WorkflowCommand command,
+                 std::function<void(Result<CommandOutcome>)> done) override;
+    bool holdsLease() const override;
+
+    void apply(const LogEntry &entry) override;
+    std::string snapshot() override;
+    Status restore(const std::string &bytes) override;
+    void leadershipBegan(Term term) override;
+    void leadershipEnded() override;
+
+private:
+    using Callback = std::function<void(Result<CommandOutcome>)>;
+    struct Shard
+    {
+        std::mutex mutex;
+        std::map<std::uint64_t, Callback> callbacks;
+    };
+    static constexpr std::size_t shardCount = 8;
+
+    Shard &shardOf(std::uint64_t number);
+    /** Removes and returns the callback, or an empty one if it was taken before. */
+    Callback takeCallback(std::uint64_t number);
+    CellTime cellNow() const;
+
+    WorkflowState &state;
+    const Clock &clock;
+    const std::uint64_t origin;
+    const LogEvents events;
+    Replica *replica = nullptr;
+    std::atomic<std::uint64_t> lastNumber{0};
+    std::array<Shard, shardCount> shards;
+
+    mutable std::mutex timeMutex; ///< Guards the members below.
+    CellTime timeBase;
+    SteadyTime timeSince;
+};
+
+} // namespace gooseberry
--- /dev/null
+++ b/libs/cluster/src/cluster_node.cpp
@@ -0,0 +1,319 @@
+#include <cluster/cluster_node.h>
+
+#include <random>
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+#include <spdlog/spdlog.h>
+
+#include "cluster_records.h"
+
+namespace gooseberry {
+
+namespace {
+
+/** What a caller may be told to wait while a leader is being elected. */
+constexpr std::chrono::milliseconds electionPause{1000};
+/** A snapshot is taken when the log has grown by this; a small part of the smallest disk. */
+constexpr Bytes snapshotInterval{8LL * 1024 * 1024};
+
+std::uint64_t randomNumber()
+{
+    std::random_device device;
+    return std::uniform_int_distribution<std::uint64_t>{1}(device);
+}
+
+ReplicaSettings replicaSettings(const NodeSettings &settings)
+{
+    ReplicaSettings replica;
+    replica.self = peerId(peerAddress(settings.host, settings.peerPort));
+    replica.dataFolder = settings.dataFolder;
+    for (const Address &seed : settings.seeds) {
+        replica.initialMembership.voters.insert(peerId(peerAddress(seed.host, settings.peerPort)));
+    }
+    replica.bootstrap
+        = settings.bootstrap && replica.initialMembership.voters.contains(replica.self);
+    // A failover takes the longest election timeout and two round trips; a voter on a slow machine
+    // still answers within the shortest.
+    replica.heartbeatInterval = std::chrono::milliseconds(150);
+    replica.leaderLease = std::chrono::milliseconds(900);
+    replica.minElectionTimeout = std::chrono::milliseconds(900);
+    replica.maxElectionTimeout = std::chrono::milliseconds(1500);
+    replica.snapshotInterval = snapshotInterval;
+    replica.seed = randomNumber();
+    return replica;
+}
+
+template<typename Reply, typename Done>
+std::function<void(Result<Reply>)> encodeReply(Done done)
+{
+    return [done = std::move(done)](const Result<Reply> &reply) {
+        if (ok(reply)) {
+            done(encodeRecord(valueOf(reply)));
+        } else {
+            done(errorOf(reply));
+        }
+    };
+}
+
+template<typename Reply>
+std::function<void(Result<std::string>)> decodeReply(std::function<void(Result<Reply>)> done)
+{
+    return [done = std::move(done)](const Result<std::string> &bytes) {
+        if (ok(bytes)) {
+            done(decodeRecord<Reply>(valueOf(bytes)));
+        } else {
+            done(errorOf(bytes));
+        }
+    };
+}
+
+} // namespace
+
+ClusterNode::ClusterNode(NodeSettings initialSettings, const Clock &initialClock,
+                         Executor &initialExecutor, WorkerOrders &initialOrders,
+                         AdviserAccess &initialAdviser)
+    : settings(std::move(initialSettings))
+    , clock(initialClock)
+    , executor(initialExecutor)
+    , adviser(initialAdviser)
+    , state(this->settings.retention)
+    , links(initialExecutor, initialClock, this->settings,
+            [this](RequestKind kind, const std::string &request,
+                   std::function<void(Result<std::string>)> done) {
+                this->serve(kind, request, std::move(done));
+            })
+    , router(this->links, initialAdviser)
+    , log(this->state, initialClock, randomNumber(),
+          LogEvents{.applied
+                    = [this](const WorkflowCommand &command,
+                             const CommandOutcome &outcome) { this->applied(command, outcome); },
+                    .termBegan = [this](Term term) { this->dispatcher.beginTerm(term); },
+                    .termEnded = [this]() { this->dispatcher.endTerm(); }})
+    , dispatcher(this->settings.dispatch, initialClock, initialOrders, this->router, this->log,
+                 this->state,
+                 [&executor = initialExecutor](Duration delay, std::function<void()> task) {
+                     executor.after(delay, std::move(task));
+                 })
+    , desk(this->state, this->log, this->dispatcher)
+{
+    if (this->settings.dataFolder) {
+        this->replica = std::make_unique<Replica>(replicaSettings(this->settings), this->log,
+                                                  this->links, this->clock);
+        this->log.connect(this->replica.get());
+        this->links.connect(this->replica.get());
+    }
+}
+
+ClusterNode::~ClusterNode()
+{
+    this->stop();
+}
+
+Status ClusterNode::start()
+{
+    if (this->replica) {
+        if (Status started = this->replica->start(); !ok(started)) {
+            return started;
+        }
+    }
+    return this->links.start();
+}
+
+void ClusterNode::prepareStop()
+{
+    this->stopping = true;
+    if (this->replica && this->replica->holdsLease()) {
+        this->replica->transferLeadership([](const Status &result) {
+            spdlog::info("event=leadership-handed-over done={}", ok(result));
+        });
+    }
+}
+
+void ClusterNode::stop()
+{
+    this->stopping = true;
+    this->links.stop();
+    if (this->replica) {
+        this->replica->stop();
+    }
+    this->dispatcher.endTerm();
+}
+
+void ClusterNode::setSeeds(const std::vector<Address> &seeds)
+{
+    this->links.setSeeds(seeds);
+}
+
+bool ClusterNode::ready() const
+{
+    return !this->stopping && this->links.leader().has_value();
+}
+
+void ClusterNode::handle(const CallerRequest &request, std::chrono::milliseconds patience,
+                         std::function<void(CallerReply)> done)
+{
+    this->links.askLeader(
+        RequestKind::Caller, encodeRecord(request), this->clock.steadyNow() + patience,
+        decodeReply<CallerReply>([this, path = request.path,
+                                  done = std::move(done)](const Result<CallerReply> &result) {
+            if (ok(result)) {
+                ++this->requestsServed;
+                done(valueOf(result));
+                return;
+            }
+            ++this->requestsRefused;
+            spdlog::info("event=caller-not-served path={} {}", path, describe(errorOf(result)));
+            CallerReply reply;
+            reply.outcome = errorOf(result).outcome == Outcome::NotRun ? CallerOutcome::Unavailable
+                                                                       : CallerOutcome::Uncertain;
+            reply.retryAfter = electionPause;
+            reply.message = errorOf(result).message;
+            done(reply);
+        }));
+}
+
+void ClusterNode::handle(const OperatorRequest &request, std::chrono::milliseconds patience,
+                         std::function<void(Result<OperatorReply>)> done)
+{
+    this->links.askLeader(RequestKind::Operator, encodeRecord(request),
+                          this->clock.steadyNow() + patience,
+                          decodeReply<OperatorReply>(std::move(done)));
+}
+
+void ClusterNode::handle(const WorkerNotice &report, std::chrono::milliseconds patience,
+                         std::function<void(Result<WorkerNoticeReply>)> done)
+{
+    this->links.askLeader(RequestKind::Announcement, encodeRecord(report),
+                          this->clock.steadyNow() + patience,
+                          decodeReply<WorkerNoticeReply>(
+                              [this, done = std::move(done)](Result<WorkerNoticeReply> result) {
+                                  if (ok(result)) {
+                                      valueOf(result).nextReports = this->links.leaderReports();
+                                  }
+                                  done(std::move(result));
+                              }));
+}
+
+void ClusterNode::serve(RequestKind kind, const std::string &request,
+                        std::function<void(Result<std::string>)> done)
+{
+    const auto decoded = [&](const auto &content, const auto &handler) {
+        if (ok(content)) {
+            handler(valueOf(content));
+        } else {
+            spdlog::warn("event=request-not-readable {}", describe(errorOf(content)));
+            done(errorOf(content));
+        }
+    };
+    if (kind == RequestKind::Advice) {
+        decoded(decodeRecord<AdviceQuestion>(request), [&](const AdviceQuestion &question) {
+            this->adviser.advise(question.request, question.expected,
+                                 encodeReply<AdviceReply>(std::move(done)));
+        });
+        return;
+    }
+    if (!this->log.holdsLease()) {
+        done(Error{.code = ErrorCode::NotLeader,
+                   .step = Step::Forward,
+                   .peer = this->links.self().value,
+                   .message = "this node does not lead",
+                   .outcome = Outcome::NotRun});
+        return;
+    }
+    switch (kind) {
+    case RequestKind::Caller:
+        decoded(decodeRecord<CallerRequest>(request), [&](const CallerRequest &content) {
+            this->desk.serve(content, encodeReply<CallerReply>(std::move(done)));
+        });
+        return;
+    case RequestKind::Operator:
+        decoded(decodeRecord<OperatorRequest>(request), [&](const OperatorRequest &content) {
+            this->desk.serve(content, encodeReply<OperatorReply>(std::move(done)));
+        });
+        return;
+    case RequestKind::Announcement:
+        decoded(decodeRecord<WorkerNotice>(request), [&](const WorkerNotice &content) {
+            this->desk.serve(content, encodeReply<WorkerNoticeReply>(std::move(done)));
+        });
+        return;
+    case RequestKind::Advice:
+        break;
+    }
+    done(Error{.code = ErrorCode::InvalidArgument,
+               .step = Step::Forward,
+               .peer = {},
+               .message = "the kind of request is not known",
+               .outcome = Outcome::NotRun});
+}
+
+void ClusterNode::applied(const WorkflowCommand &command, const CommandOutcome &outcome)
+{
+    if (const auto *const accepted = std::get_if<AcceptWorkflow>(&command)) {
+        if (outcome.changed) {
+            this->dispatcher.workflowAccepted(accepted->id);
+        }
+    } else if (const auto *const cancelled = std::get_if<CancelWorkflow>(&command)) {
+        if (outcome.changed) {
+            this->dispatcher.workflowCancelled(cancelled->id);
+        }
+    } else if (const auto *const announced = std::get_if<AnnounceWorker>(&command)) {
+        if (outcome.changed) {
+            this->dispatcher.workerAnnounced(announced->worker);
+        }
+    } else if (const auto *const forgotten = std::get_if<ForgetWorker>(&command)) {
+        this->dispatcher.workerForgotten(forgotten->id, forgotten->life);
+    } else if (const auto *const config = std::get_if<PutConfig>(&command)) {
+        spdlog::info("event=config-applied version={} in-force={}", config->config.version.value,
+                     outcome.changed);
+        this->dispatcher.configurationChanged();
+    } else if (const auto *const evacuation = std::get_if<SetEvacuation>(&command)) {
+        spdlog::info("event=evacuation-applied domain={} evacuated={}", evacuation->domain.value,
+                     evacuation->evacuated);
+        this->dispatcher.configurationChanged();
+    }
+}
+
+std::string ClusterNode::metrics() const
+{
+    prometheus::Registry registry;
+    const auto gauge = [&](const std::string &name, const std::string &help, double value,
+                           const prometheus::Labels &labels = {}) {
+        prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add(labels).Set(value);
+    };
+    gauge("gooseberrylead_requests_served_total", "Callers' requests answered by the leader.",
+          static_cast<double>(this->requestsServed.load()));
+    gauge("gooseberrylead_requests_refused_total", "Callers' requests that no leader answered.",
+          static_cast<double>(this->requestsRefused.load()));
+    gauge("gooseberrylead_leader_known", "Whether this node knows a leader.",
+          this->links.leader() ? 1.0 : 0.0);
+    if (this->replica) {
+        const ReplicaStatus status = this->replica->status();
+        gauge("gooseberrylead_leads", "Whether this node leads.",
+              this->replica->holdsLease() ? 1.0 : 0.0);
+        gauge("gooseberrylead_term", "The term of the log.",
+              static_cast<double>(status.term.value));
+        gauge("gooseberrylead_voters", "The voters of the log.",
+              static_cast<double>(status.membership.voters.size()));
+        gauge("gooseberrylead_committed_index", "The last committed entry of the log.",
+              static_cast<double>(status.committed.value));
+    }
+    for (const auto &[upstream, board] : this->dispatcher.readings()) {
+        const prometheus::Labels labels{{"upstream", upstream}};
+        gauge("gooseberrylead_workers", "Known workers.", static_cast<double>(board.workers),
+              labels);
+        gauge("gooseberrylead_workers_usable", "Workers that may get tasks.",
+              static_cast<double>(board.workersUsable), labels);
+        gauge("gooseberrylead_runs", "Runs that workers hold.", static_cast<double>(board.runs),
+              labels);
+        gauge("gooseberrylead_tasks_waiting", "Tasks whose turn has come and that do not run.",
+              static_cast<double>(board.tasksWaiting), labels);
+        gauge("gooseberrylead_workflows", "Workflows that may still run.",
+              static_cast<double>(board.workflows), labels);
+    }
+    return prometheus::TextSerializer().Serialize(registry.Collect());
+}
+
+} // namespace gooseberry
--- /dev/null
+++ b/libs/cluster/src/membership_step.cpp
@@ -0,0 +1,85 @@
+#include <cluster/membership_step.h>
+
+#include <algorithm>
+
+namespace gooseberry {
+
+namespace {
+
+/** A learner that no longer asks to join is dropped after this many times the replacement time. */
+constexpr int learnerPatience = 4;
+
+SteadyTime heardAt(const MembershipView &view, const InstanceId &id)
+{
+    const auto peer = view.peers.find(id);
+    return peer == view.peers.end() ? view.termBegan
+                                    : std::max(peer->second.heardAt, view.termBegan);
+}
+
+bool caughtUp(const MembershipView &view, const InstanceId &id)
+{
+    const auto peer = view.peers.find(id);
+    return peer != view.peers.end() && peer->second.caughtUp
+        && view.now - peer->second.heardAt < view.replaceAfter;
+}
+
+/** Returns the voter that was not heard for longest, if that is long enough. */
+std::optional<InstanceId> silentVoter(const MembershipView &view)
+{
+    std::optional<InstanceId> silent;
+    SteadyTime oldest = view.now - view.replaceAfter;
+    for (const InstanceId &voter : view.membership.voters) {
+        if (voter != view.self && heardAt(view, voter) < oldest) {
+            oldest = heardAt(view, voter);
+            silent = voter;
+        }
+    }
+    return silent;
+}
+
+bool lostItsDisk(const MembershipView &view, const InstanceId &id, DiskId disk)
+{
+    const auto known = view.membership.disks.find(id);
+    return view.membership.voters.contains(id) && known != view.membership.disks.end()
+        && known->second != disk;
+}
+
+} // namespace
+
+std::optional<MembershipStep> nextMembershipStep(const MembershipView &view)
+{
+    const Membership &membership = view.membership;
+    for (const auto &[node, disk] : view.joining) {
+        if (lostItsDisk(view, node, disk)) {
+            return MembershipStep{.action = MembershipAction::Remove, .node = node};
+        }
+    }
+    const std::optional<InstanceId> silent = silentVoter(view);
+    const bool vacancy = membership.voters.size() < view.target;
+    for (const InstanceId &learner : membership.learners) {
+        if (!caughtUp(view, learner)) {
+            continue;
+        }
+        if (vacancy) {
+            return MembershipStep{.action = MembershipAction::Promote, .node = learner};
+        }
+        if (silent) {
+            return MembershipStep{.action = MembershipAction::Remove, .node = *silent};
+        }
+    }
+    for (const auto &[node, disk] : view.joining) {
+        if ((vacancy || silent) && !membership.voters.contains(node)
+            && !membership.learners.contains(node)) {
+            return MembershipStep{.action = MembershipAction::AddLearner, .node = node};
+        }
+    }
+    for (const InstanceId &learner : membership.learners) {
+        if (!view.joining.contains(learner)
+            && view.now - heardAt(view, learner) > learnerPatience * view.replaceAfter) {
+            return MembershipStep{.action = MembershipAction::Remove, .node = learner};
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace gooseberry
--- /dev/null
+++ b/libs/codec/src/codec.cpp
@@ -0,0 +1,139 @@
+#include <codec/codec.h>
+
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+namespace gooseberry {
+
+namespace {
+
+using apache::thrift::TException;
+using apache::thrift::transport::TMemoryBuffer;
+using CompactProtocol = apache::thrift::protocol::TCompactProtocolT<TMemoryBuffer>;
+
+} // namespace
+
+struct RecordWriter::Impl
+{
+    std::shared_ptr<TMemoryBuffer> buffer = std::make_shared<TMemoryBuffer>();
+    CompactProtocol protocol{buffer};
+};
+
+RecordWriter::RecordWriter()
+    : impl(std::make_unique<Impl>())
+{
+}
+
+RecordWriter::~RecordWriter() = default;
+
+void RecordWriter::integer(std::int64_t value)
+{
+    this->impl->protocol.writeI64(value);
+}
+
+void RecordWriter::number(double value)
+{
+    this->impl->protocol.writeDouble(value);
+}
+
+void RecordWriter::text(std::string_view value)
+{
+    this->impl->protocol.writeString(std::string(value));
+}
+
+std::string RecordWriter::take()
+{
+    return this->impl->buffer->getBufferAsString();
+}
+
+struct RecordReader::Impl
+{
+    explicit Impl(std::string_view bytes)
+        : buffer(std::make_shared<TMemoryBuffer>(
+            // The buffer only observes the bytes; Thrift takes no const pointer.
+            reinterpret_cast<std::uint8_t *>(const_cast<char *>(bytes.data())),
+            static_cast<std::uint32_t>(bytes.size())))
+        , protocol(buffer)
+    {
+    }
+
+    std::shared_ptr<TMemoryBuffer> buffer;
+    CompactProtocol protocol;
+    bool damaged = false;
+};
+
+RecordReader::RecordReader(std::string_view bytes)
+    : impl(std::make_unique<Impl>(bytes))
+{
+}
+
+RecordReader::~RecordReader() = default;
+
+std::int64_t RecordReader::integer()
+{
+    std::int64_t value = 0;
+    if (!this->impl->damaged) {
+        try {
+            this->impl->protocol.readI64(value);
+        } catch (const TException &) {
+            this->impl->damaged = true;
+            value = 0;
+        }
+    }
+    return value;
+}
+
+double RecordReader::number()
+{
+    double value = 0.0;
+    if (!this->impl->damaged) {
+        try {
+            this->impl->protocol.readDouble(value);
+        } catch (const TException &) {
+            this->impl->damaged = true;
+            value = 0.0;
+        }
+    }
+    return value;
+}
+
+std::string RecordReader::text()
+{
+    std::string value;
+    if (!this->impl->damaged) {
+        try {
+            this->impl->protocol.readString(value);
+        } catch (const TException &) {
+            this->impl->damaged = true;
+            value.clear();
+        }
+    }
+    return value;
+}
+
+std::size_t RecordReader::count()
+{
+    const std::int64_t value = this->integer();
+    if (value < 0 || value > static_cast<std::int64_t>(this->impl->buffer->available_read())) {
+        this->impl->damaged = true;
+        return 0;
+    }
+    return static_cast<std::size_t>(value);
+}
+
+void RecordReader::fail()
+{
+    this->impl->damaged = true;
+}
+
+bool RecordReader::failed() const
+{
+    return this->impl->damaged;
+}
+
+bool RecordReader::complete() const
+{
+    return !this->impl->damaged && this->impl->buffer->available_read() == 0;
+}
+
+} // namespace gooseberry
--- /dev/null
+++ b/libs/dispatch/include/dispatch/dispatcher.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+#include <dispatch/upstream_board.h>
+
+namespace gooseberry {
+
+/**
+ * The leader's duties: one board for each upstream, from the beginning of a term to its end. On an
+ * instance that does not lead, there are no boards and all calls have no effect.
+ */
+class Dispatcher
+{
+public:
+    Dispatcher(DispatchSettings initialSettings, const Clock &initialClock,
+               WorkerOrders &initialOrders, AdviserAccess &initialAdviser, CommandSink &initialLog,
+               const WorkflowState &initialState, Schedule initialSchedule);
+
+    /** Takes over everything that the replicated state knows. */
+    void beginTerm(Term term);
+    void endTerm();
+
+    // What the replicated state has just applied, on the leader.
+    void workflowAccepted(const WorkflowId &id);
+    void workflowCancelled(const WorkflowId &id);
+    void workerAnnounced(const WorkerRecord &worker);
+    void workerForgotten(const InstanceId &id, WorkerLife life);
+    void configurationChanged();
+
+    /** A worker was heard; what it announced is known already. */
+    void workerHeard(const WorkerRecord &worker, std::optional<WorkerTime> clock);
+
+    std::map<std::string, BoardReadings> readings() const;
+
+private:
+    std::shared_ptr<UpstreamBoard> boardOf(const std::string &upstream);
+    std::shared_ptr<UpstreamBoard> makeBoard(const std::string &upstream);
+    std::map<std::string, std::shared_ptr<UpstreamBoard>> allBoards() const;
+
+    const DispatchSettings settings;
+    const Clock &clock;
+    WorkerOrders &orders;
+    AdviserAccess &adviser;
+    CommandSink &log;
+    const WorkflowState &state;
+    const Schedule schedule;
+
+    mutable std::mutex mutex; ///< Guards the members below.
+    std::optional<Term> term;
+    /** A new one for each term, since callbacks of an earlier term may still release. */
+    std::shared_ptr<CustomerLedger> ledger;
+    std::map<std::string, std::shared_ptr<UpstreamBoard>> boards;
+};
+
+} // namespace gooseberry
--- /dev/null
+++ b/libs/dispatch/include/dispatch/upstream_worker.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+
+#include <dispatch/ports.h>
+
+namespace gooseberry {
+
+/** How much slower than this machine's clock a worker's clock may run. */
+constexpr double maxWorkerClockLag = 0.02;
+
+/** A reading of a worker's clock, and the time at which it was certainly not later than that. */
+struct ClockReading
+{
+    WorkerTime clock;
+    SteadyTime at;
+};
+
+/** Returns the earliest time that the worker's clock can show now. */
+WorkerTime earliestClock(const ClockReading &reading, SteadyTime now);
+
+/** Returns when the worker's clock has certainly passed the end of the lease. */
+SteadyTime certainlyAfter(const ClockReading &reading, WorkerTime leaseEnd);
+
+/** One life of a worker, as the leader sees it. */
+struct UpstreamWorker
+{
+    WorkerRecord record;
+    /** What the runs below need, including those that are being stopped. */
+    Resources reserved;
+    std::map<TaskKey, RunNumber> runs;
+    /** When it was last heard, by heartbeat or answer. */
+    SteadyTime heardAt;
+    std::optional<ClockReading> clock;
+    /** The latest lease that the worker may have been granted, and when it is certainly over. */
+    WorkerTime leaseGranted;
+    SteadyTime leaseOverAt;
+    /** A hold of this term was answered, so orders of earlier leaders have no effect any more. */
+    bool fenceRaised = false;
+    bool holdInFlight = false;
+    bool holdScheduled = false;
+    std::uint64_t seenEnds = 0;
+    /** Ends that are being stored; the worker must not forget these yet. */
+    std::set<std::uint64_t> unstoredEnds;
+    std::uint64_t acknowledgedEnds = 0;
+    /** It left orders unanswered or refused them; it gets nothing new until then. */
+    SteadyTime avoidUntil;
+    /** Runs that failed in a row, of different workflows. */
+    std::uint32_t failuresInRow = 0;
+    WorkflowId lastFailedWorkflow;
+};
+
+/** Returns what the worker has left. */
+Resources freeOf(const UpstreamWorker &worker);
+
+/** Returns up to which end the worker may forget. */
+std::uint64_t acknowledgeable(const UpstreamWorker &worker);
+
+} // namespace gooseberry
--- /dev/null
+++ b/libs/dispatch/src/board_runs.cpp
@@ -0,0 +1,357 @@
+// The runs of a board: storing assignments, ordering starts and stops, and releasing what ended.
+
+#include <dispatch/upstream_board.h>
+
+#include <algorithm>
+
+#include <spdlog/spdlog.h>
+
+namespace gooseberry {
+
+namespace {
+
+/** The first pause of a worker that refused or failed work; it doubles with each failure. */
+constexpr std::chrono::milliseconds firstAvoidance{400};
+constexpr std::chrono::milliseconds longestAvoidance{6000};
+/** Failures in a row, of different workflows, after which a worker is suspected itself. */
+constexpr std::uint32_t suspiciousFailures = 2;
+/** How long a task waits after a run of it failed, so that another worker is tried. */
+constexpr std::chrono::milliseconds failedTaskPause{100};
+/** How long a stop that got no answer waits for the next try. */
+constexpr std::chrono::milliseconds stopRetry{300};
+
+const char *describe(StartVerdict verdict)
+{
+    switch (verdict) {
+    case StartVerdict::Started:
+        return "started";
+    case StartVerdict::Fenced:
+        return "fenced";
+    case StartVerdict::Superseded:
+        return "superseded";
+    case StartVerdict::LeaseOver:
+        return "lease-over";
+    case StartVerdict::NoRoom:
+        return "no-room";
+    case StartVerdict::NoTicket:
+        return "no-ticket";
+    case StartVerdict::Invalid:
+        return "invalid";
+    case StartVerdict::OtherLife:
+        return "other-life";
+    case StartVerdict::Unhealthy:
+        return "unhealthy";
+    }
+    return "unknown";
+}
+
+} // namespace
+
+void UpstreamBoard::reserve(UpstreamWorker &worker, const TaskKey &key, const StepSpec &spec,
+                            RunNumber run) const
+{
+    worker.reserved = add(worker.reserved, footprint(spec)).value_or(worker.reserved);
+    worker.runs[key] = run;
+}
+
+void UpstreamBoard::propose(std::vector<RunAssignment> runs, Effects &effects)
+{
+    effects.push_back([self = this->shared_from_this(), runs = std::move(runs)]() {
+        self->context.log.propose(
+            AssignRuns{.runs = runs}, [self, runs](const Result<CommandOutcome> &result) {
+                self->enter([&](Effects &later) { self->assigned(runs, result, later); });
+            });
+    });
+}
+
+void UpstreamBoard::assigned(const std::vector<RunAssignment> &runs,
+                             const Result<CommandOutcome> &result, Effects &effects)
+{
+    for (std::size_t i = 0; i < runs.size(); ++i) {
+        const RunAssignment &assignment = runs[i];
+        LiveTask *task = this->findTask(assignment.task);
+        if (task == nullptr || !task->run || task->run->number != assignment.run) {
+            continue;
+        }
+        // Without a stored assignment the worker is never told, so nothing runs.
+        const bool stored
+            = ok(result) && i < valueOf(result).accepted.size() && valueOf(result).accepted[i];
+        const auto worker = this->workers.find(assignment.worker);
+        const bool sameLife
+            = worker != this->workers.end() && worker->second.record.life == assignment.life;
+        if (!stored || !sameLife || task->run->stopWanted) {
+            this->breakGang(assignment.task, assignment.run, effects);
+            this->releaseRun(assignment.task, effects);
+            continue;
+        }
+        this->sendStart(assignment.task, *task, effects);
+    }
+    this->wantPass(effects);
+}
+
+void UpstreamBoard::sendStart(const TaskKey &key, LiveTask &task, Effects &effects)
+{
+    UpstreamWorker &worker = this->workers.at(task.run->worker);
+    const LiveWorkflow &workflow = this->workflows.at(key.workflow);
+    const SteadyTime now = this->context.clock.steadyNow();
+    if (!worker.clock) {
+        this->releaseRun(key, effects);
+        return;
+    }
+    task.run->phase = RunPhase::Ordered;
+    task.run->since = now;
+    StartOrder order{.task = key,
+                     .run = task.run->number,
+                     .spec = workflow.spec,
+                     .leaseEnd = earliestClock(*worker.clock, now) + this->settings.workerLease,
+                     .fence = this->term,
+                     .checkpoint = task.checkpoint,
+                     .ticket = task.run->ticket};
+    worker.leaseGranted = std::max(worker.leaseGranted, order.leaseEnd);
+    worker.leaseOverAt
+        = std::max(worker.leaseOverAt, certainlyAfter(*worker.clock, worker.leaseGranted));
+    const WorkerRef ref{
+        .id = worker.record.id, .address = worker.record.address, .life = worker.record.life};
+    effects.push_back([self = this->shared_from_this(), ref, order]() {
+        const auto answer = [self, key = order.task, run = order.run,
+                             id = ref.id](const Result<StartReply> &result) {
+            self->enter([&](Effects &later) { self->onStart(key, run, id, result, later); });
+        };
+        if (!self->context.log.holdsLease()) {
+            answer(Error{.code = ErrorCode::NotLeader,
+                         .step = Step::Send,
+                         .peer = ref.id.value,
+                         .message = "the leader's lease is over",
+                         .outcome = Outcome::NotRun});
+            return;
+        }
+        self->context.orders.start(ref, order, answer);
+    });
+    this->wantHold(worker, effects);
+}
+
+void UpstreamBoard::onStart(const TaskKey &key, RunNumber run, const InstanceId &id,
+                            const Result<StartReply> &result, Effects &effects)
+{
+    LiveTask *task = this->findTask(key);
+    const auto worker = this->workers.find(id);
+    if (task == nullptr || !task->run || task->run->number != run || task->run->worker != id
+        || worker == this->workers.end()
+        || (task->run->phase != RunPhase::Ordered && task->run->phase != RunPhase::Uncertain)) {
+        return;
+    }
+    if (ok(result) && valueOf(result).verdict == StartVerdict::Started) {
+        spdlog::debug("event=run-started task={} run={} worker={}", toString(key), run.value,
+                      id.value);
+        if (task->run->phase == RunPhase::Ordered) {
+            task->run->phase = RunPhase::Running;
+            task->run->since = this->context.clock.steadyNow();
+        }
+        worker->second.heardAt = this->context.clock.steadyNow();
+        return;
+    }
+    const bool uncertain = !ok(result) && errorOf(result).outcome == Outcome::Unknown;
+    if (uncertain) {
+        spdlog::info("event=start-unanswered task={} run={} worker={} {}", toString(key), run.value,
+                     id.value, gooseberry::describe(errorOf(result)));
+        task->run->phase = RunPhase::Uncertain;
+        task->run->since = this->context.clock.steadyNow();
+        this->avoid(worker->second, firstAvoidance, "start-unanswered");
+        this->wantStop(key, *task->run, effects);
+        this->breakGang(key, run, effects);
+        return;
+    }
+    const char *reason = ok(result) ? describe(valueOf(result).verdict) : "not-sent";
+    spdlog::info("event=start-refused task={} run={} worker={} reason={}", toString(key), run.value,
+                 id.value, reason);
+    if (!ok(result) || valueOf(result).verdict == StartVerdict::Unhealthy
+        || valueOf(result).verdict == StartVerdict::NoRoom) {
+        this->avoid(worker->second, firstAvoidance, reason);
+    }
+    if (ok(result) && valueOf(result).verdict == StartVerdict::NoTicket) {
+        LiveStep *step = nullptr;
+        this->findTask(key, nullptr, &step);
+        step->eligibility.erase(id);
+    }
+    this->breakGang(key, run, effects);
+    this->releaseRun(key, effects);
+    this->wantPass(effects);
+}
+
+void UpstreamBoard::wantStop(const TaskKey &key, LiveRun &run, Effects &effects)
+{
+    run.stopWanted = true;
+    const auto worker = this->workers.find(run.worker);
+    // The assignment that is being stored is released when its outcome is known.
+    if (run.phase == RunPhase::Proposed || run.phase == RunPhase::Ending || run.stopInFlight
+        || worker == this->workers.end()) {
+        return;
+    }
+    run.stopInFlight = true;
+    const WorkerRef ref{.id = worker->second.record.id,
+                        .address = worker->second.record.address,
+                        .life = worker->second.record.life};
+    const StopOrder order{.task = key, .run = run.number, .fence = this->term};
+    effects.push_back([self = this->shared_from_this(), ref, order]() {
+        const auto answer = [self, ref, order](const Status &status) {
+            self->enter([&](Effects &later) {
+                self->onStop(order.task, order.run, ref.id, status, later);
+            });
+        };
+        if (!self->context.log.holdsLease()) {
+            answer(Error{.code = ErrorCode::NotLeader,
+                         .step = Step::Send,
+                         .peer = ref.id.value,
+                         .message = "the leader's lease is over",
+                         .outcome = Outcome::NotRun});
+            return;
+        }
+        self->context.orders.stop(ref, order, answer);
+    });
+}
+
+void UpstreamBoard::onStop(const TaskKey &key, RunNumber run, const InstanceId &id,
+                           const Status &status, Effects &effects)
+{
+    LiveTask *task = this->findTask(key);
+    if (task == nullptr || !task->run || task->run->number != run || task->run->worker != id) {
+        return;
+    }
+    task->run->stopInFlight = false;
+    if (ok(status)) {
+        task->run->stopAnsweredAt = this->context.clock.steadyNow();
+        const auto worker = this->workers.find(id);
+        if (worker != this->workers.end()) {
+            this->wantHold(worker->second, effects);
+        }
+        return;
+    }
+    this->runLater(stopRetry, [this, key, run](Effects &later) {
+        LiveTask *late = this->findTask(key);
+        if (late != nullptr && late->run && late->run->number == run
+            && !late->run->stopAnsweredAt) {
+            this->wantStop(key, *late->run, later);
+        }
+    });
+}
+
+void UpstreamBoard::releaseRun(const TaskKey &key, Effects &effects)
+{
+    LiveWorkflow *workflow = nullptr;
+    LiveStep *step = nullptr;
+    LiveTask *task = this->findTask(key, &workflow, &step);
+    if (task == nullptr || !task->run) {
+        return;
+    }
+    const LiveRun run = *task->run;
+    const StepSpec &spec = workflow->spec->steps[key.step];
+    task->run.reset();
+    if (!run.checkpoint.empty()) {
+        task->checkpoint = run.checkpoint;
+    }
+    const auto worker = this->workers.find(run.worker);
+    if (worker != this->workers.end()) {
+        worker->second.runs.erase(key);
+        worker->second.reserved
+            = subtract(worker->second.reserved, footprint(spec)).value_or(Resources{});
+    }
+    this->context.ledger->release(workflow->customer, spec.size);
+    --workflow->activeRuns;
+    if (!task->done) {
+        ++step->waiting;
+        this->wantPass(effects);
+    }
+    this->dropFinished(key.workflow);
+}
+
+void UpstreamBoard::breakGang(const TaskKey &key, RunNumber run, Effects &effects)
+{
+    LiveWorkflow *workflow = nullptr;
+    LiveStep *step = nullptr;
+    if (this->findTask(key, &workflow, &step) == nullptr || !workflow->spec->steps[key.step].gang) {
+        return;
+    }
+    for (std::uint32_t index = 0; index < step->tasks.size(); ++index) {
+        LiveTask &member = step->tasks[index];
+        if (index != key.index && member.run && member.run->number == run && !member.run->stopWanted
+            && !member.done) {
+            TaskKey other = key;
+            other.index = index;
+            this->wantStop(other, *member.run, effects);
+        }
+    }
+}
+
+void UpstreamBoard::taskDone(const TaskKey &key, Effects &effects)
+{
+    LiveWorkflow *workflow = nullptr;
+    LiveStep *step = nullptr;
+    LiveTask *task = this->findTask(key, &workflow, &step);
+    if (task == nullptr || task->done) {
+        return;
+    }
+    const StepSpec &spec = workflow->spec->steps[key.step];
+    const auto finish = [&](LiveTask &ended, TaskKey endedKey) {
+        if (!ended.run) {
+            --step->waiting;
+        }
+        ended.done = true;
+        ++step->done;
+        if (ended.run && (ended.run->phase == RunPhase::Ending || spec.gang)) {
+            this->releaseRun(endedKey, effects);
+        } else if (ended.run) {
+            this->wantStop(endedKey, *ended.run, effects);
+        }
+    };
+    if (spec.longRunning) {
+        this->releaseRun(key, effects);
+        return;
+    }
+    const WorkflowId id = key.workflow;
+    if (spec.gang) {
+        for (std::uint32_t index = 0; index < step->tasks.size(); ++index) {
+            TaskKey member = key;
+            member.index = index;
+            if (!step->tasks[index].done) {
+                finish(step->tasks[index], member);
+            }
+        }
+    } else {
+        finish(*task, key);
+    }
+    const auto found = this->workflows.find(id);
+    if (found != this->workflows.end()) {
+        updateReady(found->second, found->second.occurrences.at(key.occurrence));
+    }
+}
+
+void UpstreamBoard::avoid(UpstreamWorker &worker, Duration time, const char *reason)
+{
+    const SteadyTime until = this->context.clock.steadyNow() + time;
+    if (until > worker.avoidUntil) {
+        worker.avoidUntil = until;
+        spdlog::info("event=worker-avoided worker={} reason={} for={}ms", worker.record.id.value,
+                     reason, std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+    }
+}
+
+void UpstreamBoard::workerFailed(UpstreamWorker &worker, const TaskKey &key)
+{
+    LiveTask *task = this->findTask(key);
+    if (task != nullptr) {
+        task->notBefore = this->context.clock.steadyNow() + failedTaskPause;
+    }
+    // A workflow that fails everywhere says nothing about the worker.
+    if (worker.lastFailedWorkflow == key.workflow) {
+        return;
+    }
+    worker.lastFailedWorkflow = key.workflow;
+    ++worker.failuresInRow;
+    if (worker.failuresInRow >= suspiciousFailures) {
+        const auto doubled
+            = firstAvoidance * (1LL << std::min<std::uint32_t>(worker.failuresInRow, 5));
+        this->avoid(worker, std::min<Duration>(doubled, longestAvoidance), "failures-in-row");
+    }
+}
+
+} // namespace gooseberry
--- /dev/null
+++ b/libs/dispatch/src/upstream_board.cpp
@@ -0,0 +1,313 @@
+#include <dispatch/upstream_board.h>
+
+#include <algorithm>
+
+#include <spdlog/spdlog.h>
+
+namespace gooseberry {
+
+namespace {
+
+/** How early an occurrence of a timetable is prepared, so that advice is there when it is due. */
+constexpr std::chrono::milliseconds occurrenceLead{1500};
+
+} // namespace
+
+Resources footprint(const StepSpec &spec)
+{
+    Resources size = spec.size;
+    if (spec.fillsIdleCpu) {
+        size.cpu = CpuMillis(0);
+    }
+    return size;
+}
+
+UpstreamBoard::UpstreamBoard(std::string initialUpstream, Term initialTerm,
+                             DispatchSettings initialSettings, BoardContext initialContext)
+    : upstream(std::move(initialUpstream))
+    , term(initialTerm)
+    , settings(initialSettings)
+    , context(std::move(initialContext))
+    , evacuated(this->context.state.evacuated())
+    , config(this->context.state.config())
+{
+}
+
+void UpstreamBoard::enter(const Entry &entry)
+{
+    Effects effects;
+    {
+        const std::lock_guard lock(this->mutex);
+        if (this->closed) {
+            return;
+        }
+        entry(effects);
+    }
+    for (const auto &effect : effects) {
+        effect();
+    }
+}
+
+void UpstreamBoard::runLater(Duration delay, const Entry &entry)
+{
+    this->context.schedule(delay, [weak = this->weak_from_this(), entry]() {
+        if (const auto self = weak.lock()) {
+            self->enter(entry);
+        }
+    });
+}
+
+void UpstreamBoard::begin()
+{
+    this->enter([this](Effects &effects) {
+        for (auto &[id, worker] : this->workers) {
+            this->wantHold(worker, effects);
+        }
+        this->wantPass(effects);
+    });
+    this->tick();
+}
+
+void UpstreamBoard::close()
+{
+    const std::lock_guard lock(this->mutex);
+    this->closed = true;
+}
+
+void UpstreamBoard::tick()
+{
+    this->enter([this](Effects &effects) {
+        this->lapseOverdue(effects);
+        for (auto &[id, workflow] : this->workflows) {
+            this->beginOccurrences(workflow, effects);
+        }
+        this->wantPass(effects);
+    });
+    this->context.schedule(this->settings.tickInterval, [weak = this->weak_from_this()]() {
+        const auto self = weak.lock();
+        if (self == nullptr) {
+            return;
+        }
+        bool ended = false;
+        {
+            const std::lock_guard lock(self->mutex);
+            ended = self->closed;
+        }
+        if (!ended) {
+            self->tick();
+        }
+    });
+}
+
+LiveOccurrence UpstreamBoard::newOccurrence(const LiveWorkflow &workflow) const
+{
+    LiveOccurrence occurrence;
+    for (const StepSpec &step : workflow.spec->steps) {
+        LiveStep live;
+        live.tasks.resize(step.count);
+        live.waiting = step.count;
+        occurrence.push_back(std::move(live));
+    }
+    return occurrence;
+}
+
+LiveWorkflow &UpstreamBoard::createWorkflow(const WorkflowRecord &workflow)
+{
+    LiveWorkflow &live = this->workflows[workflow.id];
+    live.id = workflow.id;
+    live.queue = workflow.queue;
+    live.customer = workflow.customer;
+    live.spec = workflow.spec;
+    // The cell's time may have passed since; the difference is what the workflow has waited.
+    const Duration waited = this->context.state.time() - workflow.acceptedAt;
+    live.acceptedAt = this->context.clock.steadyNow() - std::max(waited, Duration::zero());
+    return live;
+}
+
+void UpstreamBoard::beginOccurrences(LiveWorkflow &workflow, Effects &effects)
+{
+    const Timetable &timetable = workflow.spec->timetable;
+    const std::uint32_t count = occurrenceCount(*workflow.spec);
+    const auto now = this->context.clock.wallNow().time_since_epoch();
+    while (!workflow.ended && workflow.nextOccurrence < count) {
+        const std::uint32_t number = workflow.nextOccurrence;
+        const auto due = timetable.first + timetable.interval * number;
+        if (timetable.occurrences > 0 && now < due) {
+            // The tick interval is too coarse for the last bit of waiting.
+            if (now + this->settings.tickInterval >= due) {
+                this->runLater(due - now, [this, id = workflow.id](Effects &later) {
+                    const auto found = this->workflows.find(id);
+                    if (found != this->workflows.end()) {
+                        this->beginOccurrences(found->second, later);
+                    }
+                });
+            }
+            return;
+        }
+        ++workflow.nextOccurrence;
+        const auto [found, added]
+            = workflow.occurrences.try_emplace(number, this->newOccurrence(workflow));
+        updateReady(workflow, found->second);
+        this->wantPass(effects);
+    }
+}
+
+void UpstreamBoard::updateReady(LiveWorkflow &workflow, LiveOccurrence &occurrence)
+{
+    for (std::size_t number = 0; number < occurrence.size(); ++number) {
+        const auto &before = workflow.spec->steps[number].dependsOn;
+        occurrence[number].ready
+            = std::all_of(before.begin(), before.end(), [&](std::uint32_t earlier) {
+                  return occurrence[earlier].done == occurrence[earlier].tasks.size();
+              });
+    }
+}
+
+void UpstreamBoard::addWorkflow(const WorkflowRecord &workflow)
+{
+    this->enter([&](Effects &effects) {
+        if (!isLive(workflow.phase) || this->workflows.contains(workflow.id)) {
+            return;
+        }
+        this->beginOccurrences(this->createWorkflow(workflow), effects);
+    });
+}
+
+void UpstreamBoard::recoverWorkflow(const WorkflowRecord &workflow)
+{
+    const std::lock_guard lock(this->mutex);
+    LiveWorkflow &live = this->createWorkflow(workflow);
+    for (const auto &[number, stored] : workflow.occurrences) {
+        LiveOccurrence &occurrence
+            = live.occurrences.emplace(number, this->newOccurrence(live)).first->second;
+        live.nextOccurrence = std::max(live.nextOccurrence, number + 1);
+        for (std::uint32_t step = 0; step < stored.size(); ++step) {
+            for (std::uint32_t index = 0; index < stored[step].tasks.size(); ++index) {
+                const StoredTask &state = stored[step].tasks[index];
+                LiveTask &task = occurrence[step].tasks[index];
+                task.lastRun = state.run;
+                task.checkpoint = state.checkpoint;
+                if (state.phase == StoredTaskPhase::Done) {
+                    task.done = true;
+                    ++occurrence[step].done;
+                    --occurrence[step].waiting;
+                } else if (state.phase == StoredTaskPhase::Assigned) {
+                    const TaskKey key{.workflow = workflow.id,
+                                      .occurrence = number,
+                                      .step = step,
+                                      .index = index};
+                    const StepSpec &spec = live.spec->steps[step];
+                    const auto found = this->workers.find(state.worker);
+                    // Another life of the worker, or none: the run ended with the life it was in.
+                    if (found == this->workers.end() || found->second.record.life != state.life) {
+                        continue;
+                    }
+                    LiveRun run;
+                    run.number = state.run;
+                    run.phase = RunPhase::Recovered;
+                    run.worker = state.worker;
+                    run.since = this->context.clock.steadyNow();
+                    run.checkpoint = state.checkpoint;
+                    task.run = run;
+                    --occurrence[step].waiting;
+                    ++live.activeRuns;
+                    this->context.ledger->reserve(live.customer, spec.size);
+                    this->reserve(found->second, key, spec, state.run);
+                }
+            }
+        }
+        updateReady(live, occurrence);
+    }
+    // begin() schedules the first pass, so this effect is not needed.
+    Effects none;
+    this->beginOccurrences(live, none);
+    this->passScheduled = false;
+}
+
+void UpstreamBoard::endWorkflow(const WorkflowId &id)
+{
+    this->enter([&](Effects &effects) {
+        const auto found = this->workflows.find(id);
+        if (found == this->workflows.end()) {
+            return;
+        }
+        LiveWorkflow &workflow = found->second;
+        workflow.ended = true;
+        for (auto &[number, occurrence] : workflow.occurrences) {
+            for (std::uint32_t step = 0; step < occurrence.size(); ++step) {
+                for (std::uint32_t index = 0; index < occurrence[step].tasks.size(); ++index) {
+                    LiveTask &task = occurrence[step].tasks[index];
+                    if (task.run) {
+                        this->wantStop(
+                            TaskKey{
+                                .workflow = id, .occurrence = number, .step = step, .index = index},
+                            *task.run, effects);
+                    }
+                }
+            }
+        }
+        this->dropFinished(id);
+    });
+}
+
+void UpstreamBoard::dropFinished(const WorkflowId &id)
+{
+    const auto found = this->workflows.find(id);
+    if (found != this->workflows.end() && found->second.ended && found->second.activeRuns == 0) {
+        this->workflows.erase(found);
+    }
+}
+
+LiveTask *UpstreamBoard::findTask(const TaskKey &key, LiveWorkflow **workflow, LiveStep **step)
+{
+    const auto found = this->workflows.find(key.workflow);
+    if (found == this->workflows.end()) {
+        return nullptr;
+    }
+    const auto occurrence = found->second.occurrences.find(key.occurrence);
+    if (occurrence == found->second.occurrences.end() || key.step >= occurrence->second.size()
+        || key.index >= occurrence->second[key.step].tasks.size()) {
+        return nullptr;
+    }
+    if (workflow != nullptr) {
+        *workflow = &found->second;
+    }
+    if (step != nullptr) {
+        *step = &occurrence->second[key.step];
+    }
+    return &occurrence->second[key.step].tasks[key.index];
+}
+
+void UpstreamBoard::reconsider()
+{
+    this->enter([this](Effects &effects) {
+        this->evacuated = this->context.state.evacuated();
+        this->config = this->context.state.config();
+        this->wantPass(effects);
+    });
+}
+
+BoardReadings UpstreamBoard::readings() const
+{
+    const std::lock_guard lock(this->mutex);
+    BoardReadings readings;
+    const SteadyTime now = this->context.clock.steadyNow();
+    readings.workers = this->workers.size();
+    for (const auto &[id, worker] : this->workers) {
+        readings.workersUsable += this->isUsable(worker, now) ? 1 : 0;
+        readings.runs += worker.runs.size();
+        readings.capacity = add(readings.capacity, worker.record.capacity).value_or(Resources{});
+        readings.reserved = add(readings.reserved, worker.reserved).value_or(Resources{});
+    }
+    readings.workflows = this->workflows.size();
+    for (const auto &[id, workflow] : this->workflows) {
+        for (const auto &[number, occurrence] : workflow.occurrences) {
+            for (const LiveStep &step : occurrence) {
+                readings.tasksWaiting += step.ready ? step.waiting : 0;
+            }
+        }
+    }
+    return readings;
+}
+
+} // namespace gooseberry
--- /dev/null
+++ b/libs/dispatch/src/upstream_worker.cpp
@@ -0,0 +1,38 @@
+#include <dispatch/upstream_worker.h>
+
+#include <algorithm>
+
+namespace gooseberry {
+
+WorkerTime earliestClock(const ClockReading &reading, SteadyTime now)
+{
+    const auto elapsed = std::max(now - reading.at, Duration::zero());
+    const std::chrono::duration<double, std::milli> slow(elapsed);
+    return reading.clock
+        + std::chrono::duration_cast<std::chrono::milliseconds>(slow * (1.0 - maxWorkerClockLag));
+}
+
+SteadyTime certainlyAfter(const ClockReading &reading, WorkerTime leaseEnd)
+{
+    const std::chrono::duration<double, std::milli> left(leaseEnd - reading.clock);
+    return reading.at + std::chrono::duration_cast<Duration>(left / (1.0 - maxWorkerClockLag));
+}
+
+Resources freeOf(const UpstreamWorker &worker)
+{
+    const Resources &capacity = worker.record.capacity;
+    const Resources &reserved = worker.reserved;
+    return Resources{
+        .cpu = CpuMillis(std::max<std::int64_t>(capacity.cpu.value - reserved.cpu.value, 0)),
+        .memory = Bytes(std::max<std::int64_t>(capacity.memory.value - reserved.memory.value, 0)),
+        .accelerators = AcceleratorCount(
+            std::max<std::int64_t>(capacity.accelerators.value - reserved.accelerators.value, 0)),
+        .slots = SlotCount(0)};
+}
+
+std::uint64_t acknowledgeable(const UpstreamWorker &worker)
+{
+    return worker.unstoredEnds.empty() ? worker.seenEnds : *worker.unstoredEnds.begin() - 1;
+}
+
+} // namespace gooseberry
--- a/libs/link/include/link/peer_network.h
+++ b/libs/link/include/link/peer_network.h
@@ -96,6 +96,12 @@
      */
     void stop();
 
+    /**
+     * Replaces the instances to keep a link to. Links with others stay until they break, and are
+     * not made again.
+     */
+    void setPeers(const std::map<InstanceId, Address> &peers);
+
     /** Queues the frame; false without a link, with a full queue or with a frame above maxFrame. */
     bool send(const InstanceId &to, std::string frame);
 
--- a/libs/link/src/peer_network.cpp
+++ b/libs/link/src/peer_network.cpp
@@ -163,6 +163,31 @@
     return {this->records.begin(), this->records.end()};
 }
 
+void PeerNetwork::Impl::setPeers(const std::map<InstanceId, Address> &peers)
+{
+    for (const auto &[id, record] : this->allRecords()) {
+        const std::lock_guard lock(record->mutex);
+        if (!peers.contains(id)) {
+            record->address.reset();
+        }
+    }
+    for (const auto &[id, address] : peers) {
+        const std::shared_ptr<PeerRecord> record = this->findOrAdd(id);
+        if (record == nullptr || id == this->settings.self) {
+            continue;
+        }
+        bool changed = false;
+        {
+            const std::lock_guard lock(record->mutex);
+            changed = record->address != address;
+            record->address = address;
+        }
+        if (changed) {
+            this->dial(id, record);
+        }
+    }
+}
+
 bool PeerNetwork::Impl::send(const InstanceId &to, Frame frame)
 {
     const std::shared_ptr<PeerRecord> record = this->find(to);
@@ -378,6 +403,11 @@
     this->impl->stop();
 }
 
+void PeerNetwork::setPeers(const std::map<InstanceId, Address> &peers)
+{
+    this->impl->setPeers(peers);
+}
+
 bool PeerNetwork::send(const InstanceId &to, std::string frame)
 {
     return this->impl->send(to,
--- a/libs/link/src/peer_network_impl.h
+++ b/libs/link/src/peer_network_impl.h
@@ -23,6 +23,7 @@
     std::shared_ptr<PeerRecord> findOrAdd(const InstanceId &id);
     std::vector<std::pair<InstanceId, std::shared_ptr<PeerRecord>>> allRecords() const;
 
+    void setPeers(const std::map<InstanceId, Address> &peers);
     bool send(const InstanceId &to, Frame frame);
     void call(const InstanceId &to, std::string frame, std::chrono::milliseconds deadline,
               Callback done);
--- a/libs/quorum/include/quorum/replica.h
+++ b/libs/quorum/include/quorum/replica.h
@@ -79,6 +79,17 @@
     virtual void send(const InstanceId &to, QuorumMessage message) = 0;
 };
 
+/** What a leader knows of another replica. */
+struct PeerStatus
+{
+    /** When its latest answer came. */
+    SteadyTime heardAt;
+    /** It has stored all that is committed. */
+    bool caughtUp = false;
+
+    bool operator==(const PeerStatus &other) const = default;
+};
+
 struct ReplicaStatus
 {
     bool leads = false;
@@ -89,6 +100,10 @@
     LogIndex committed;
     LogIndex applied;
     Membership membership;
+    /** The data folder of this replica. */
+    DiskId disk;
+    /** The other replicas; empty on a replica that does not lead. */
+    std::map<InstanceId, PeerStatus> peers;
     /** Set while the disk can't take another record. */
     bool storageFull = false;
     /** Set after a failed sync or damaged data; the replica takes no part until a restart. */
--- a/libs/quorum/src/replica_impl.cpp
+++ b/libs/quorum/src/replica_impl.cpp
@@ -212,6 +212,14 @@
         = leads ? quorumAnsweredAt(this->state, this->now) : this->state.leaderHeardAt;
     this->published.committed = this->state.commit;
     this->published.membership = currentMembership(this->state.log);
+    this->published.disk = this->state.settings.disk;
+    this->published.peers.clear();
+    if (leads) {
+        for (const auto &[id, peer] : this->state.leadership.peers) {
+            this->published.peers[id]
+                = PeerStatus{.heardAt = peer.heardAt, .caughtUp = peer.match >= this->state.commit};
+        }
+    }
     this->published.storageFull = this->storageFull;
     this->published.failure = this->failure;
 }
--- /dev/null
+++ b/libs/workflow/include/workflow/records.h
@@ -0,0 +1,181 @@
+#pragma once
+
+#include <codec/codec.h>
+#include <workflow/workflow_state.h>
+
+// How the types of this library are written as records.
+
+namespace gooseberry {
+
+template<typename Codec>
+void fields(Codec &codec, AdviceTerms &value)
+{
+    codec(value.decision, value.perWorker, value.ticketValidity);
+}
+
+template<typename Codec>
+void fields(Codec &codec, QueueRule &value)
+{
+    codec(value.name, value.host, value.pathPrefix, value.upstream, value.requestTimeout,
+          value.completionTarget, value.slackFactor, value.priority, value.attempts, value.advice,
+          value.openToAll);
+}
+
+template<typename Codec>
+void fields(Codec &codec, UpstreamRule &value)
+{
+    codec(value.name, value.workersGuardCapacity, value.standby, value.healthPath);
+}
+
+template<typename Codec>
+void fields(Codec &codec, CustomerRule &value)
+{
+    codec(value.id, value.keys, value.weight, value.limit);
+}
+
+template<typename Codec>
+void fields(Codec &codec, RoutingConfig &value)
+{
+    codec(value.version, value.queues, value.upstreams, value.customers, value.document);
+}
+
+template<typename Codec>
+void fields(Codec &codec, StepSpec &value)
+{
+    codec(value.count, value.size, value.estimate, value.dependsOn, value.checkpointing, value.gang,
+          value.rackSensitive, value.allowDuplicates, value.longRunning, value.fillsIdleCpu,
+          value.requiredLabel, value.dataRack, value.image, value.maxPerWorker,
+          value.responseTarget, value.maxUnavailable);
+}
+
+template<typename Codec>
+void fields(Codec &codec, Timetable &value)
+{
+    codec(value.occurrences, value.first, value.interval);
+}
+
+template<typename Codec>
+void fields(Codec &codec, WorkflowSpec &value)
+{
+    codec(value.payload, value.steps, value.timetable);
+}
+
+template<typename Codec>
+void fields(Codec &codec, TaskKey &value)
+{
+    codec(value.workflow, value.occurrence, value.step, value.index);
+}
+
+template<typename Codec>
+void fields(Codec &codec, WorkerRecord &value)
+{
+    codec(value.id, value.address, value.life, value.upstream, value.domain, value.labels,
+          value.rack, value.capacity, value.draining, value.announcement);
+}
+
+template<typename Codec>
+void fields(Codec &codec, PutConfig &value)
+{
+    codec(value.config);
+}
+
+template<typename Codec>
+void fields(Codec &codec, AcceptWorkflow &value)
+{
+    codec(value.id, value.queue, value.upstream, value.customer, value.attempts, value.spec);
+}
+
+template<typename Codec>
+void fields(Codec &codec, RunAssignment &value)
+{
+    codec(value.task, value.run, value.worker, value.life, value.checkpoint);
+}
+
+template<typename Codec>
+void fields(Codec &codec, AssignRuns &value)
+{
+    codec(value.runs);
+}
+
+template<typename Codec>
+void fields(Codec &codec, RunEnd &value)
+{
+    codec(value.task, value.run, value.result, value.checkpoint);
+}
+
+template<typename Codec>
+void fields(Codec &codec, EndRuns &value)
+{
+    codec(value.ends);
+}
+
+template<typename Codec>
+void fields(Codec &codec, CancelWorkflow &value)
+{
+    codec(value.id);
+}
+
+template<typename Codec>
+void fields(Codec &codec, SetEvacuation &value)
+{
+    codec(value.domain, value.evacuated);
+}
+
+template<typename Codec>
+void fields(Codec &codec, AnnounceWorker &value)
+{
+    codec(value.worker);
+}
+
+template<typename Codec>
+void fields(Codec &codec, ForgetWorker &value)
+{
+    codec(value.id, value.life);
+}
+
+template<typename Codec>
+void fields(Codec &codec, StoredTask &value)
+{
+    codec(value.phase, value.run, value.worker, value.life, value.failures, value.checkpoint);
+}
+
+template<typename Codec>
+void fields(Codec &codec, StepState &value)
+{
+    codec(value.tasks, value.done, value.gangFailures, value.lastFailedRun);
+}
+
+/** A workflow as a snapshot holds it. */
+struct StoredWorkflow
+{
+    WorkflowRecord record;
+    WorkflowSpec spec;
+};
+
+template<typename Codec>
+void fields(Codec &codec, StoredWorkflow &value)
+{
+    WorkflowRecord &record = value.record;
+    codec(record.id, record.queue, record.upstream, record.customer, record.attempts,
+          record.acceptedAt, record.phase, record.endedAt, value.spec, record.occurrences,
+          record.occurrencesDone);
+}
+
+/** The whole state as a snapshot holds it. */
+struct StoredState
+{
+    std::uint32_t version = 1;
+    CellTime now;
+    std::optional<RoutingConfig> config;
+    std::set<FailureDomainId> evacuated;
+    std::map<InstanceId, WorkerRecord> workers;
+    std::vector<StoredWorkflow> workflows;
+};
+
+template<typename Codec>
+void fields(Codec &codec, StoredState &value)
+{
+    codec(value.version, value.now, value.config, value.evacuated, value.workers, value.workflows);
+}
+
+} // namespace gooseberry
--- /dev/null
+++ b/libs/workflow/include/workflow/workflow_state.h
@@ -0,0 +1,163 @@
+#pragma once
+
+#include <array>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <unordered_map>
+
+#include <workflow/command.h>
+
+namespace gooseberry {
+
+enum class WorkflowPhase : std::uint8_t {
+    Queued, ///< Accepted; no task has started.
+    Running,
+    Completed,
+    Failed,
+    Cancelled,
+};
+
+/** Returns whether tasks of the workflow may still run. */
+bool isLive(WorkflowPhase phase);
+
+enum class StoredTaskPhase : std::uint8_t {
+    Waiting,
+    Assigned,
+    Done,
+};
+
+/** What is durable of one task. */
+struct StoredTask
+{
+    StoredTaskPhase phase = StoredTaskPhase::Waiting;
+    RunNumber run;
+    InstanceId worker;
+    WorkerLife life;
+    std::uint32_t failures = 0;
+    std::string checkpoint;
+};
+
+/** What is durable of one step of one occurrence. */
+struct StepState
+{
+    std::vector<StoredTask> tasks;
+    std::uint32_t done = 0;
+    /** A gang's failures, one for each run. */
+    std::uint32_t gangFailures = 0;
+    RunNumber lastFailedRun;
+};
+
+using OccurrenceState = std::vector<StepState>;
+
+/** A workflow with the state of its tasks. */
+struct WorkflowRecord
+{
+    WorkflowId id;
+    std::string queue;
+    std::string upstream;
+    CustomerId customer;
+    std::uint32_t attempts = 1;
+    CellTime acceptedAt;
+    WorkflowPhase phase = WorkflowPhase::Queued;
+    CellTime endedAt;
+    std::shared_ptr<const WorkflowSpec> spec;
+    /** By number. An occurrence without an entry has not begun. */
+    std::map<std::uint32_t, OccurrenceState> occurrences;
+    std::uint32_t occurrencesDone = 0;
+};
+
+/** What became of a command. The vectors have an entry for each run or end of the command. */
+struct CommandOutcome
+{
+    /** Whether the command changed anything. */
+    bool changed = false;
+    /** For AcceptWorkflow and CancelWorkflow: whether the workflow is known. */
+    bool known = false;
+    std::vector<bool> accepted;
+    /** Workflows that reached their end by this command. */
+    std::vector<std::pair<WorkflowId, WorkflowPhase>> ended;
+};
+
+struct WorkflowStatus
+{
+    WorkflowPhase phase = WorkflowPhase::Queued;
+    std::string queue;
+    CustomerId customer;
+};
+
+/**
+ * The replicated state of the cell. apply() is deterministic and is called by one thread at a time;
+ * queries may run on other threads meanwhile. Workflows are in shards, each under its own lock.
+ */
+class WorkflowState
+{
+public:
+    /** How long a workflow that has ended is remembered, for its status and for resends. */
+    explicit WorkflowState(std::chrono::milliseconds initialRetention);
+
+    CommandOutcome apply(const ProposedCommand &proposed);
+
+    /** Returns the configuration in force; null before the first one. */
+    std::shared_ptr<const RoutingConfig> config() const;
+    std::optional<WorkflowStatus> status(const WorkflowId &id) const;
+    /** Returns how many accepted workflows of the queue have started no task. */
+    std::size_t queuedCount(const std::string &queue) const;
+    std::set<FailureDomainId> evacuated() const;
+    std::map<InstanceId, WorkerRecord> workers() const;
+    std::optional<WorkerRecord> worker(const InstanceId &id) const;
+    CellTime time() const;
+    /** Calls visit with every workflow that may still run tasks, under its shard's lock. */
+    void visitLive(const std::function<void(const WorkflowRecord &)> &visit) const;
+    /** Calls visit with the workflow, if it is known, under its shard's lock. */
+    void visitOne(const WorkflowId &id,
+                  const std::function<void(const WorkflowRecord &)> &visit) const;
+
+    std::string snapshot() const;
+    Status restore(const std::string &bytes);
+
+private:
+    struct Shard
+    {
+        mutable std::mutex mutex;
+        std::unordered_map<std::string, WorkflowRecord> workflows;
+        std::map<std::string, std::size_t> queued;
+        std::deque<std::pair<CellTime, WorkflowId>> ended;
+    };
+    static constexpr std::size_t shardCount = 8;
+
+    CommandOutcome run(const PutConfig &command);
+    CommandOutcome run(const AcceptWorkflow &command);
+    CommandOutcome run(const AssignRuns &command);
+    CommandOutcome run(const EndRuns &command);
+    CommandOutcome run(const CancelWorkflow &command);
+    CommandOutcome run(const SetEvacuation &command);
+    CommandOutcome run(const AnnounceWorker &command);
+    CommandOutcome run(const ForgetWorker &command);
+
+    Shard &shardOf(const WorkflowId &id);
+    const Shard &shardOf(const WorkflowId &id) const;
+    bool assign(Shard &shard, const RunAssignment &assignment);
+    bool end(Shard &shard, const RunEnd &end, CommandOutcome &outcome);
+    bool endDone(WorkflowRecord &workflow, StepState &step, const StepSpec &spec,
+                 const RunEnd &end);
+    bool endFailed(WorkflowRecord &workflow, StepState &step, const StepSpec &spec,
+                   const RunEnd &end);
+    void finish(Shard &shard, WorkflowRecord &workflow, WorkflowPhase phase,
+                CommandOutcome &outcome);
+    void expire(Shard &shard);
+
+    const std::chrono::milliseconds retention;
+    std::array<Shard, shardCount> shards;
+
+    mutable std::mutex cellMutex; ///< Guards the members below.
+    std::shared_ptr<const RoutingConfig> configInForce;
+    std::set<FailureDomainId> evacuatedDomains;
+    std::map<InstanceId, WorkerRecord> knownWorkers;
+    CellTime now;
+};
+
+} // namespace gooseberry
--- /dev/null
+++ b/libs/workflow/src/workflow_state.cpp
@@ -0,0 +1,461 @@
+#include <workflow/workflow_state.h>
+
+#include <algorithm>
+
+#include <workflow/records.h>
+
+namespace gooseberry {
+
+namespace {
+
+OccurrenceState newOccurrence(const WorkflowSpec &spec)
+{
+    OccurrenceState occurrence;
+    for (const StepSpec &step : spec.steps) {
+        occurrence.push_back(StepState{.tasks = std::vector<StoredTask>(step.count),
+                                       .done = 0,
+                                       .gangFailures = 0,
+                                       .lastFailedRun = {}});
+    }
+    return occurrence;
+}
+
+bool isDone(const OccurrenceState &occurrence)
+{
+    return std::all_of(occurrence.begin(), occurrence.end(),
+                       [](const StepState &step) { return step.done == step.tasks.size(); });
+}
+
+/** Returns the task's step and spec, or null when the workflow has no such task. */
+struct FoundTask
+{
+    StepState *step = nullptr;
+    const StepSpec *spec = nullptr;
+};
+
+FoundTask findTask(WorkflowRecord &workflow, const TaskKey &key)
+{
+    if (key.occurrence >= occurrenceCount(*workflow.spec) || key.step >= workflow.spec->steps.size()
+        || key.index >= workflow.spec->steps[key.step].count) {
+        return {};
+    }
+    auto found = workflow.occurrences.find(key.occurrence);
+    if (found == workflow.occurrences.end()) {
+        found = workflow.occurrences.emplace(key.occurrence, newOccurrence(*workflow.spec)).first;
+    }
+    return {.step = &found->second[key.step], .spec = &workflow.spec->steps[key.step]};
+}
+
+} // namespace
+
+bool isLive(WorkflowPhase phase)
+{
+    return phase == WorkflowPhase::Queued || phase == WorkflowPhase::Running;
+}
+
+WorkflowState::WorkflowState(std::chrono::milliseconds initialRetention)
+    : retention(initialRetention)
+{
+}
+
+WorkflowState::Shard &WorkflowState::shardOf(const WorkflowId &id)
+{
+    return this->shards.at(std::hash<WorkflowId>{}(id) % shardCount);
+}
+
+const WorkflowState::Shard &WorkflowState::shardOf(const WorkflowId &id) const
+{
+    return this->shards.at(std::hash<WorkflowId>{}(id) % shardCount);
+}
+
+CommandOutcome WorkflowState::apply(const ProposedCommand &proposed)
+{
+    {
+        const std::lock_guard lock(this->cellMutex);
+        this->now = std::max(this->now, proposed.at);
+    }
+    return std::visit([this](const auto &command) { return this->run(command); }, proposed.command);
+}
+
+CommandOutcome WorkflowState::run(const PutConfig &command)
+{
+    const std::lock_guard lock(this->cellMutex);
+    CommandOutcome outcome;
+    outcome.changed
+        = this->configInForce == nullptr || command.config.version > this->configInForce->version;
+    if (outcome.changed) {
+        this->configInForce = std::make_shared<const RoutingConfig>(command.config);
+    }
+    return outcome;
+}
+
+CommandOutcome WorkflowState::run(const AcceptWorkflow &command)
+{
+    CommandOutcome outcome;
+    Result<WorkflowSpec> spec = decodeRecord<WorkflowSpec>(command.spec);
+    if (!ok(spec)) {
+        return outcome;
+    }
+    Shard &shard = this->shardOf(command.id);
+    const CellTime at = this->time();
+    const std::lock_guard lock(shard.mutex);
+    this->expire(shard);
+    const auto [found, added] = shard.workflows.try_emplace(command.id.value);
+    outcome.known = true;
+    outcome.changed = added;
+    if (added) {
+        found->second
+            = WorkflowRecord{.id = command.id,
+                             .queue = command.queue,
+                             .upstream = command.upstream,
+                             .customer = command.customer,
+                             .attempts = command.attempts,
+                             .acceptedAt = at,
+                             .phase = WorkflowPhase::Queued,
+                             .endedAt = {},
+                             .spec = std::make_shared<const WorkflowSpec>(std::move(valueOf(spec))),
+                             .occurrences = {},
+                             .occurrencesDone = 0};
+        ++shard.queued[command.queue];
+    }
+    return outcome;
+}
+
+CommandOutcome WorkflowState::run(const AssignRuns &command)
+{
+    CommandOutcome outcome;
+    for (const RunAssignment &assignment : command.runs) {
+        Shard &shard = this->shardOf(assignment.task.workflow);
+        const std::lock_guard lock(shard.mutex);
+        outcome.accepted.push_back(this->assign(shard, assignment));
+    }
+    return outcome;
+}
+
+bool WorkflowState::assign(Shard &shard, const RunAssignment &assignment)
+{
+    const auto found = shard.workflows.find(assignment.task.workflow.value);
+    if (found == shard.workflows.end() || !isLive(found->second.phase)) {
+        return false;
+    }
+    WorkflowRecord &workflow = found->second;
+    const FoundTask task = findTask(workflow, assignment.task);
+    if (task.step == nullptr) {
+        return false;
+    }
+    StoredTask &state = task.step->tasks[assignment.task.index];
+    if (state.phase == StoredTaskPhase::Done || assignment.run <= state.run) {
+        return false;
+    }
+    state.phase = StoredTaskPhase::Assigned;
+    state.run = assignment.run;
+    state.worker = assignment.worker;
+    state.life = assignment.life;
+    state.checkpoint = assignment.checkpoint;
+    if (workflow.phase == WorkflowPhase::Queued) {
+        workflow.phase = WorkflowPhase::Running;
+        --shard.queued[workflow.queue];
+    }
+    return true;
+}
+
+CommandOutcome WorkflowState::run(const EndRuns &command)
+{
+    CommandOutcome outcome;
+    for (const RunEnd &end : command.ends) {
+        Shard &shard = this->shardOf(end.task.workflow);
+        const std::lock_guard lock(shard.mutex);
+        outcome.accepted.push_back(this->end(shard, end, outcome));
+    }
+    return outcome;
+}
+
+bool WorkflowState::end(Shard &shard, const RunEnd &end, CommandOutcome &outcome)
+{
+    const auto found = shard.workflows.find(end.task.workflow.value);
+    if (found == shard.workflows.end() || !isLive(found->second.phase)) {
+        return false;
+    }
+    WorkflowRecord &workflow = found->second;
+    const FoundTask task = findTask(workflow, end.task);
+    if (task.step == nullptr || task.step->tasks[end.task.index].phase == StoredTaskPhase::Done) {
+        return false;
+    }
+    if (end.result == StoredResult::Failed) {
+        if (this->endFailed(workflow, *task.step, *task.spec, end)) {
+            this->finish(shard, workflow, WorkflowPhase::Failed, outcome);
+        }
+        return true;
+    }
+    if (this->endDone(workflow, *task.step, *task.spec, end)
+        && isDone(workflow.occurrences.at(end.task.occurrence))) {
+        ++workflow.occurrencesDone;
+        if (workflow.occurrencesDone == occurrenceCount(*workflow.spec)) {
+            this->finish(shard, workflow, WorkflowPhase::Completed, outcome);
+        }
+    }
+    return true;
+}
+
+bool WorkflowState::endDone(WorkflowRecord & /*workflow*/, StepState &step, const StepSpec &spec,
+                            const RunEnd &end)
+{
+    if (spec.longRunning) {
+        step.tasks[end.task.index].phase = StoredTaskPhase::Waiting;
+        return false;
+    }
+    if (spec.gang) {
+        // The members of a gang end together, so the end of one stands for all.
+        for (StoredTask &task : step.tasks) {
+            task.phase = StoredTaskPhase::Done;
+            task.checkpoint.clear();
+        }
+        step.done = static_cast<std::uint32_t>(step.tasks.size());
+        return true;
+    }
+    StoredTask &task = step.tasks[end.task.index];
+    task.phase = StoredTaskPhase::Done;
+    task.checkpoint.clear();
+    ++step.done;
+    return step.done == step.tasks.size();
+}
+
+bool WorkflowState::endFailed(WorkflowRecord &workflow, StepState &step, const StepSpec &spec,
+                              const RunEnd &end)
+{
+    StoredTask &task = step.tasks[end.task.index];
+    if (end.run != task.run || task.phase != StoredTaskPhase::Assigned) {
+        return false;
+    }
+    task.phase = StoredTaskPhase::Waiting;
+    task.checkpoint = end.checkpoint;
+    if (spec.longRunning) {
+        return false;
+    }
+    if (spec.gang) {
+        if (step.lastFailedRun < end.run) {
+            step.lastFailedRun = end.run;
+            ++step.gangFailures;
+        }
+        return step.gangFailures >= workflow.attempts;
+    }
+    ++task.failures;
+    return task.failures >= workflow.attempts;
+}
+
+void WorkflowState::finish(Shard &shard, WorkflowRecord &workflow, WorkflowPhase phase,
+                           CommandOutcome &outcome)
+{
+    if (workflow.phase == WorkflowPhase::Queued) {
+        --shard.queued[workflow.queue];
+    }
+    workflow.phase = phase;
+    workflow.endedAt = this->time();
+    workflow.occurrences.clear();
+    shard.ended.emplace_back(workflow.endedAt, workflow.id);
+    outcome.changed = true;
+    outcome.ended.emplace_back(workflow.id, phase);
+}
+
+CommandOutcome WorkflowState::run(const CancelWorkflow &command)
+{
+    CommandOutcome outcome;
+    Shard &shard = this->shardOf(command.id);
+    const std::lock_guard lock(shard.mutex);
+    const auto found = shard.workflows.find(command.id.value);
+    outcome.known = found != shard.workflows.end();
+    if (outcome.known && isLive(found->second.phase)) {
+        this->finish(shard, found->second, WorkflowPhase::Cancelled, outcome);
+    }
+    return outcome;
+}
+
+CommandOutcome WorkflowState::run(const SetEvacuation &command)
+{
+    const std::lock_guard lock(this->cellMutex);
+    CommandOutcome outcome;
+    outcome.changed = command.evacuated ? this->evacuatedDomains.insert(command.domain).second
+                                        : this->evacuatedDomains.erase(command.domain) > 0;
+    return outcome;
+}
+
+CommandOutcome WorkflowState::run(const AnnounceWorker &command)
+{
+    const std::lock_guard lock(this->cellMutex);
+    CommandOutcome outcome;
+    const auto [found, added] = this->knownWorkers.try_emplace(command.worker.id, command.worker);
+    outcome.changed = added;
+    // A delayed announcement of an earlier life proves nothing about the present one.
+    const bool late = command.worker.life < found->second.life
+        || (command.worker.life == found->second.life
+            && command.worker.announcement < found->second.announcement);
+    if (!added && !late && found->second != command.worker) {
+        found->second = command.worker;
+        outcome.changed = true;
+    }
+    return outcome;
+}
+
+CommandOutcome WorkflowState::run(const ForgetWorker &command)
+{
+    const std::lock_guard lock(this->cellMutex);
+    CommandOutcome outcome;
+    const auto found = this->knownWorkers.find(command.id);
+    if (found != this->knownWorkers.end() && found->second.life == command.life) {
+        this->knownWorkers.erase(found);
+        outcome.changed = true;
+    }
+    return outcome;
+}
+
+void WorkflowState::expire(Shard &shard)
+{
+    const CellTime horizon = this->time() - this->retention;
+    while (!shard.ended.empty() && shard.ended.front().first < horizon) {
+        shard.workflows.erase(shard.ended.front().second.value);
+        shard.ended.pop_front();
+    }
+}
+
+std::shared_ptr<const RoutingConfig> WorkflowState::config() const
+{
+    const std::lock_guard lock(this->cellMutex);
+    return this->configInForce;
+}
+
+std::optional<WorkflowStatus> WorkflowState::status(const WorkflowId &id) const
+{
+    std::optional<WorkflowStatus> status;
+    this->visitOne(id, [&](const WorkflowRecord &workflow) {
+        status = WorkflowStatus{
+            .phase = workflow.phase, .queue = workflow.queue, .customer = workflow.customer};
+    });
+    return status;
+}
+
+std::size_t WorkflowState::queuedCount(const std::string &queue) const
+{
+    std::size_t count = 0;
+    for (const Shard &shard : this->shards) {
+        const std::lock_guard lock(shard.mutex);
+        const auto found = shard.queued.find(queue);
+        count += found == shard.queued.end() ? 0 : found->second;
+    }
+    return count;
+}
+
+std::set<FailureDomainId> WorkflowState::evacuated() const
+{
+    const std::lock_guard lock(this->cellMutex);
+    return this->evacuatedDomains;
+}
+
+std::map<InstanceId, WorkerRecord> WorkflowState::workers() const
+{
+    const std::lock_guard lock(this->cellMutex);
+    return this->knownWorkers;
+}
+
+std::optional<WorkerRecord> WorkflowState::worker(const InstanceId &id) const
+{
+    const std::lock_guard lock(this->cellMutex);
+    const auto found = this->knownWorkers.find(id);
+    return found == this->knownWorkers.end() ? std::nullopt : std::optional(found->second);
+}
+
+CellTime WorkflowState::time() const
+{
+    const std::lock_guard lock(this->cellMutex);
+    return this->now;
+}
+
+void WorkflowState::visitLive(const std::function<void(const WorkflowRecord &)> &visit) const
+{
+    for (const Shard &shard : this->shards) {
+        const std::lock_guard lock(shard.mutex);
+        for (const auto &[id, workflow] : shard.workflows) {
+            if (isLive(workflow.phase)) {
+                visit(workflow);
+            }
+        }
+    }
+}
+
+void WorkflowState::visitOne(const WorkflowId &id,
+                             const std::function<void(const WorkflowRecord &)> &visit) const
+{
+    const Shard &shard = this->shardOf(id);
+    const std::lock_guard lock(shard.mutex);
+    const auto found = shard.workflows.find(id.value);
+    if (found != shard.workflows.end()) {
+        visit(found->second);
+    }
+}
+
+std::string WorkflowState::snapshot() const
+{
+    StoredState stored;
+    {
+        const std::lock_guard lock(this->cellMutex);
+        stored.now = this->now;
+        stored.evacuated = this->evacuatedDomains;
+        stored.workers = this->knownWorkers;
+        if (this->configInForce != nullptr) {
+            stored.config = *this->configInForce;
+        }
+    }
+    for (const Shard &shard : this->shards) {
+        const std::lock_guard lock(shard.mutex);
+        for (const auto &[id, workflow] : shard.workflows) {
+            stored.workflows.push_back(StoredWorkflow{.record = workflow, .spec = *workflow.spec});
+        }
+    }
+    // Equal states give equal bytes on all replicas.
+    std::sort(stored.workflows.begin(), stored.workflows.end(),
+              [](const StoredWorkflow &left, const StoredWorkflow &right) {
+                  return left.record.id < right.record.id;
+              });
+    return encodeRecord(stored);
+}
+
+Status WorkflowState::restore(const std::string &bytes)
+{
+    Result<StoredState> decoded = decodeRecord<StoredState>(bytes);
+    if (!ok(decoded)) {
+        return errorOf(decoded);
+    }
+    StoredState &stored = valueOf(decoded);
+    {
+        const std::lock_guard lock(this->cellMutex);
+        this->now = stored.now;
+        this->evacuatedDomains = std::move(stored.evacuated);
+        this->knownWorkers = std::move(stored.workers);
+        this->configInForce = stored.config
+            ? std::make_shared<const RoutingConfig>(std::move(*stored.config))
+            : nullptr;
+    }
+    for (Shard &shard : this->shards) {
+        const std::lock_guard lock(shard.mutex);
+        shard.workflows.clear();
+        shard.queued.clear();
+        shard.ended.clear();
+    }
+    std::sort(stored.workflows.begin(), stored.workflows.end(),
+              [](const StoredWorkflow &left, const StoredWorkflow &right) {
+                  return left.record.endedAt < right.record.endedAt;
+              });
+    for (StoredWorkflow &workflow : stored.workflows) {
+        Shard &shard = this->shardOf(workflow.record.id);
+        const std::lock_guard lock(shard.mutex);
+        workflow.record.spec = std::make_shared<const WorkflowSpec>(std::move(workflow.spec));
+        if (!isLive(workflow.record.phase)) {
+            shard.ended.emplace_back(workflow.record.endedAt, workflow.record.id);
+        } else if (workflow.record.phase == WorkflowPhase::Queued) {
+            ++shard.queued[workflow.record.queue];
+        }
+        shard.workflows.emplace(workflow.record.id.value, std::move(workflow.record));
+    }
+    return Done{};
+}
+
+} // namespace gooseberry
