Drop ended workflows only when no entry point uses them

Cause: releaseRun erased a workflow while taskDone still used its step, and a board began its work before the term had begun, so its first holds were given up for want of a lease.

Change: ended workflows are dropped after each entry point; a board begins on the next turn and every tick wants the holds that are missing.

--- a/libs/dispatch/include/dispatch/upstream_board.h
+++ b/libs/dispatch/include/dispatch/upstream_board.h
@@ -89,7 +89,8 @@
     static void updateReady(LiveWorkflow &workflow, LiveOccurrence &occurrence);
     LiveTask *findTask(const TaskKey &key, LiveWorkflow **workflow = nullptr,
                        LiveStep **step = nullptr);
-    void dropFinished(const WorkflowId &id);
+    /** Forgets ended workflows whose last run was released. */
+    void dropFinished();
 
     // board_workers.cpp: what workers say.
     void wantHold(UpstreamWorker &worker, Effects &effects);
@@ -150,6 +151,8 @@
     SteadyTime lastPass;
     std::map<InstanceId, UpstreamWorker> workers;
     std::map<WorkflowId, LiveWorkflow> workflows;
+    /** Ended workflows with a run released lately; dropped when no entry point uses them. */
+    std::set<WorkflowId> finishing;
     std::set<FailureDomainId> evacuated;
     std::shared_ptr<const RoutingConfig> config;
 };
--- a/libs/dispatch/src/board_runs.cpp
+++ b/libs/dispatch/src/board_runs.cpp
@@ -261,7 +261,7 @@
         ++step->waiting;
         this->wantPass(effects);
     }
-    this->dropFinished(key.workflow);
+    this->finishing.insert(key.workflow);
 }
 
 void UpstreamBoard::breakGang(const TaskKey &key, RunNumber run, Effects &effects)
--- a/libs/dispatch/src/upstream_board.cpp
+++ b/libs/dispatch/src/upstream_board.cpp
@@ -42,6 +42,7 @@
             return;
         }
         entry(effects);
+        this->dropFinished();
     }
     for (const auto &effect : effects) {
         effect();
@@ -59,13 +60,12 @@
 
 void UpstreamBoard::begin()
 {
-    this->enter([this](Effects &effects) {
-        for (auto &[id, worker] : this->workers) {
-            this->wantHold(worker, effects);
+    // Not on the caller's thread, on which the term begins only after the caller has returned.
+    this->context.schedule(Duration::zero(), [weak = this->weak_from_this()]() {
+        if (const auto self = weak.lock()) {
+            self->tick();
         }
-        this->wantPass(effects);
     });
-    this->tick();
 }
 
 void UpstreamBoard::close()
@@ -78,6 +78,9 @@
 {
     this->enter([this](Effects &effects) {
         this->lapseOverdue(effects);
+        for (auto &[id, worker] : this->workers) {
+            this->wantHold(worker, effects);
+        }
         for (auto &[id, workflow] : this->workflows) {
             this->beginOccurrences(workflow, effects);
         }
@@ -246,16 +249,20 @@
                 }
             }
         }
-        this->dropFinished(id);
+        this->finishing.insert(id);
     });
 }
 
-void UpstreamBoard::dropFinished(const WorkflowId &id)
+void UpstreamBoard::dropFinished()
 {
-    const auto found = this->workflows.find(id);
-    if (found != this->workflows.end() && found->second.ended && found->second.activeRuns == 0) {
-        this->workflows.erase(found);
+    for (const WorkflowId &id : this->finishing) {
+        const auto found = this->workflows.find(id);
+        if (found != this->workflows.end() && found->second.ended
+            && found->second.activeRuns == 0) {
+            this->workflows.erase(found);
+        }
     }
+    this->finishing.clear();
 }
 
 LiveTask *UpstreamBoard::findTask(const TaskKey &key, LiveWorkflow **workflow, LiveStep **step)
