Let nodes that keep the log lead others to the leader

Cause: a node knows the seeds only. When the leader was no seed after a restart of the whole cell, entry nodes had no link with it, got no beacon and answered 503 for good.

Change: followers relay the leader's latest beacon, and a node without a link to the leader asks another keeper, which passes the request on once.

--- a/libs/cluster/include/cluster/cell_links.h
+++ b/libs/cluster/include/cluster/cell_links.h
@@ -71,7 +71,12 @@
     void answered(const std::shared_ptr<Question> &question, Result<std::string> result);
     void onFrame(const InstanceId &from, const std::string &frame);
     void onRequest(const std::string &frame, const PeerHandlers::Reply &reply);
+    void call(const InstanceId &node, const std::string &frame, std::chrono::milliseconds patience,
+              std::function<void(Result<std::string>)> done);
+    /** Returns the leader if there is a link with it, or else another node that keeps the log. */
+    std::optional<InstanceId> nextHop();
     void onBeacon(const std::string &bytes);
+    void relayBeacon();
     void onJoin(const std::string &bytes);
     void scheduleStep();
     void step();
@@ -111,6 +116,10 @@
     std::map<InstanceId, Joining> joining;
     Hint hint;
     SteadyTime nextBeacon;
+    /** The latest beacon, for nodes that have no link with the leader. */
+    std::string lastBeacon;
+    SteadyTime nextRelay;
+    std::size_t lastHop = 0;
     SteadyTime nextJoin;
     Term ledTerm;
     SteadyTime ledSince;
--- a/libs/cluster/src/cell_links.cpp
+++ b/libs/cluster/src/cell_links.cpp
@@ -18,6 +18,9 @@
 constexpr char joinFrame = 'j';
 constexpr char answerFrame = 'y';
 constexpr char refusalFrame = 'n';
+/** Second byte of a request: whether the receiver may pass it on to the leader. */
+constexpr char mayRelay = '0';
+constexpr char relayed = '1';
 
 /** How often a node with a log looks at its duties; a part of the replica's lease. */
 constexpr std::chrono::milliseconds stepInterval{100};
@@ -26,6 +29,10 @@
 constexpr std::chrono::milliseconds beaconInterval{250};
 /** Three beacons may be lost before the leader counts as unknown. */
 constexpr std::chrono::milliseconds hintLifetime{1200};
+/** Relayed beacons only lead a node to the leader, which then sends its own. */
+constexpr std::chrono::milliseconds relayInterval{1000};
+/** What a node that is asked in place of the leader waits for the leader's answer. */
+constexpr std::chrono::milliseconds relayPatience{1500};
 constexpr std::chrono::milliseconds joinInterval{300};
 /** A node that has not asked to join for this long no longer does. */
 constexpr std::chrono::milliseconds joinLifetime{1000};
@@ -84,6 +91,7 @@
         if (up) {
             this->connected.insert(peer);
             this->nextBeacon = SteadyTime{};
+            this->nextRelay = SteadyTime{};
         } else {
             this->connected.erase(peer);
         }
@@ -220,7 +228,7 @@
                     });
         return;
     }
-    const std::optional<InstanceId> target = this->leader();
+    const std::optional<InstanceId> target = this->nextHop();
     if (!target) {
         this->answered(question,
                        linkError(ErrorCode::NotLeader, "no leader is known", Outcome::NotRun));
@@ -259,46 +267,83 @@
     this->executor.after(askPause, [this, question]() { this->attempt(question); });
 }
 
+std::optional<InstanceId> CellLinks::nextHop()
+{
+    const std::optional<InstanceId> known = this->leader();
+    const std::lock_guard lock(this->mutex);
+    if (known && this->connected.contains(*known)) {
+        return known;
+    }
+    std::vector<InstanceId> others;
+    for (const InstanceId &keeper : this->keepers) {
+        if (keeper != this->ownId && this->connected.contains(keeper)) {
+            others.push_back(keeper);
+        }
+    }
+    if (others.empty()) {
+        return std::nullopt;
+    }
+    return others[this->lastHop++ % others.size()];
+}
+
 void CellLinks::askNode(const InstanceId &node, RequestKind kind, const std::string &request,
                         std::chrono::milliseconds patience,
                         std::function<void(Result<std::string>)> done)
 {
-    this->network->call(node, static_cast<char>(kind) + request, patience,
-                        [done = std::move(done), node](Result<std::string> result) {
-                            if (!ok(result)) {
-                                done(errorOf(result));
-                                return;
-                            }
-                            const std::string &frame = valueOf(result);
-                            if (!frame.empty() && frame.front() == answerFrame) {
-                                done(frame.substr(1));
-                                return;
-                            }
-                            const bool unknown = frame == std::string{refusalFrame, 'u'};
-                            Error error
-                                = linkError(ErrorCode::NotLeader, "the node refused the request",
-                                            unknown ? Outcome::Unknown : Outcome::NotRun);
-                            error.peer = node.value;
-                            done(error);
-                        });
+    this->call(node, std::string{static_cast<char>(kind), mayRelay} + request, patience,
+               std::move(done));
+}
+
+void CellLinks::call(const InstanceId &node, const std::string &frame,
+                     std::chrono::milliseconds patience,
+                     std::function<void(Result<std::string>)> done)
+{
+    this->network->call(
+        node, frame, patience, [done = std::move(done), node](const Result<std::string> &result) {
+            if (!ok(result)) {
+                done(errorOf(result));
+                return;
+            }
+            const std::string &answer = valueOf(result);
+            if (!answer.empty() && answer.front() == answerFrame) {
+                done(answer.substr(1));
+                return;
+            }
+            const bool unknown = answer == std::string{refusalFrame, 'u'};
+            Error error = linkError(ErrorCode::NotLeader, "the node refused the request",
+                                    unknown ? Outcome::Unknown : Outcome::NotRun);
+            error.peer = node.value;
+            done(error);
+        });
 }
 
 void CellLinks::onRequest(const std::string &frame, const PeerHandlers::Reply &reply)
 {
-    if (frame.empty()) {
+    if (frame.size() < 2) {
         reply(std::string{refusalFrame});
         return;
     }
-    this->serve(static_cast<RequestKind>(frame.front()), frame.substr(1),
-                [reply](const Result<std::string> &result) {
-                    if (ok(result)) {
-                        reply(answerFrame + valueOf(result));
-                    } else if (errorOf(result).outcome == Outcome::Unknown) {
-                        reply(std::string{refusalFrame, 'u'});
-                    } else {
-                        reply(std::string{refusalFrame});
-                    }
-                });
+    const auto answer = [reply](const Result<std::string> &result) {
+        if (ok(result)) {
+            reply(answerFrame + valueOf(result));
+        } else if (errorOf(result).outcome == Outcome::Unknown) {
+            reply(std::string{refusalFrame, 'u'});
+        } else {
+            reply(std::string{refusalFrame});
+        }
+    };
+    const auto kind = static_cast<RequestKind>(frame.front());
+    const bool leads = this->replica != nullptr && this->replica->holdsLease();
+    if (kind != RequestKind::Advice && !leads && frame[1] == mayRelay) {
+        const std::optional<InstanceId> known = this->leader();
+        if (known && *known != this->ownId) {
+            std::string passedOn = frame;
+            passedOn[1] = relayed;
+            this->call(*known, passedOn, relayPatience, answer);
+            return;
+        }
+    }
+    this->serve(kind, frame.substr(2), answer);
 }
 
 void CellLinks::onFrame(const InstanceId &from, const std::string &frame)
@@ -338,6 +383,10 @@
         if (beacon.term < this->hint.term) {
             return;
         }
+        this->lastBeacon = bytes;
+        if (beacon.term != this->hint.term || beacon.keepers != this->keepers) {
+            this->nextRelay = SteadyTime{};
+        }
         if (beacon.leader != this->hint.leader) {
             spdlog::info("event=leader-known leader={} term={}", beacon.leader.value,
                          beacon.term.value);
@@ -389,6 +438,31 @@
         this->repairMembership(status);
     } else {
         this->askToJoin(status);
+        this->relayBeacon();
+    }
+}
+
+void CellLinks::relayBeacon()
+{
+    std::vector<InstanceId> receivers;
+    std::string frame;
+    {
+        const std::lock_guard lock(this->mutex);
+        const SteadyTime now = this->clock.steadyNow();
+        if (now < this->nextRelay || this->lastBeacon.empty()
+            || now - this->hint.heardAt >= hintLifetime) {
+            return;
+        }
+        this->nextRelay = now + relayInterval;
+        frame = beaconFrame + this->lastBeacon;
+        for (const InstanceId &peer : this->connected) {
+            if (!this->keepers.contains(peer)) {
+                receivers.push_back(peer);
+            }
+        }
+    }
+    for (const InstanceId &receiver : receivers) {
+        this->network->send(receiver, frame);
     }
 }
 
