Place over allowed workers only and batch unchanged heartbeats

Cause: at 350 workers each placement pass went over all workers with text lookups for every step, every heartbeat went to the leader, and each end was collected by a call of its own, so the leader ran out of processor time and lost its lease.

Change: workers have a number per life, a step keeps its allowed workers as a list, a pass goes over those; nodes answer unchanged heartbeats themselves and pass them on in batches; the pause between holds grows with the fleet.

--- a/libs/cluster/include/cluster/cell_links.h
+++ b/libs/cluster/include/cluster/cell_links.h
@@ -20,6 +20,7 @@
     Operator = 'o',
     Announcement = 'w',
     Advice = 'a',
+    HeardWorkers = 'h', ///< Workers that had nothing new to say.
 };
 
 /** Answers a request; an error with code NotLeader sends the asker to the leader. */
--- a/libs/cluster/include/cluster/cluster_node.h
+++ b/libs/cluster/include/cluster/cluster_node.h
@@ -3,7 +3,9 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <mutex>
 #include <string>
+#include <vector>
 
 #include <cluster/advice_router.h>
 #include <cluster/cell_links.h>
@@ -51,6 +53,8 @@
 private:
     void serve(RequestKind kind, const std::string &request,
                std::function<void(Result<std::string>)> done);
+    /** Passes the workers that were heard on to the leader, a few times a second. */
+    void passHeardOn();
     void applied(const WorkflowCommand &command, const CommandOutcome &outcome);
 
     const NodeSettings settings;
@@ -65,6 +69,9 @@
     LeaderDesk desk;
     /** Empty on a node without a data folder. */
     std::unique_ptr<Replica> replica;
+    std::mutex heardMutex; ///< Guards heard and its timer.
+    std::vector<HeardWorker> heard;
+    bool passScheduled = false;
     std::atomic<bool> stopping{false};
     std::atomic<std::uint64_t> requestsServed{0};
     std::atomic<std::uint64_t> requestsRefused{0};
--- a/libs/cluster/include/cluster/leader_desk.h
+++ b/libs/cluster/include/cluster/leader_desk.h
@@ -19,7 +19,11 @@
 
     void serve(const CallerRequest &request, std::function<void(Result<CallerReply>)> done);
     void serve(const OperatorRequest &request, std::function<void(Result<OperatorReply>)> done);
-    void serve(const WorkerNotice &report, std::function<void(Result<WorkerNoticeReply>)> done);
+    void serve(const WorkerNotice &report,
+               const std::function<void(Result<WorkerNoticeReply>)> &done);
+
+    /** Takes what other nodes have heard. */
+    void serve(const std::vector<HeardWorker> &workers);
 
 private:
     void submit(const CallerRequest &request, const QueueRule &queue, const CustomerId &customer,
--- a/libs/cluster/include/cluster/requests.h
+++ b/libs/cluster/include/cluster/requests.h
@@ -86,6 +86,14 @@
     std::optional<WorkerTime> clock;
 };
 
+/** A worker that was heard and had nothing new to say. */
+struct HeardWorker
+{
+    InstanceId id;
+    WorkerLife life;
+    std::optional<WorkerTime> clock;
+};
+
 struct WorkerNoticeReply
 {
     bool taken = false;
--- a/libs/cluster/src/advice_router.cpp
+++ b/libs/cluster/src/advice_router.cpp
@@ -41,7 +41,7 @@
     for (const InstanceId &node : connected) {
         add(node);
     }
-    const InstanceId chosen = leastBusy(nodes).node;
+    InstanceId chosen = leastBusy(nodes).node;
     Load &load = this->loads[chosen];
     load.backlog += cost;
     ++load.questions;
--- a/libs/cluster/src/cell_links.cpp
+++ b/libs/cluster/src/cell_links.cpp
@@ -269,7 +269,7 @@
 
 std::optional<InstanceId> CellLinks::nextHop()
 {
-    const std::optional<InstanceId> known = this->leader();
+    std::optional<InstanceId> known = this->leader();
     const std::lock_guard lock(this->mutex);
     if (known && this->connected.contains(*known)) {
         return known;
--- a/libs/cluster/src/cluster_node.cpp
+++ b/libs/cluster/src/cluster_node.cpp
@@ -18,6 +18,10 @@
 constexpr std::chrono::milliseconds electionPause{1000};
 /** A snapshot is taken when the log has grown by this; a small part of the smallest disk. */
 constexpr Bytes snapshotInterval{8LL * 1024 * 1024};
+/** How long a heartbeat may wait for others before the leader is told; a part of its interval. */
+constexpr std::chrono::milliseconds heardInterval{300};
+/** How long the leader may take to hear of it. */
+constexpr std::chrono::milliseconds heardPatience{1000};
 
 std::uint64_t randomNumber()
 {
@@ -186,15 +190,48 @@
 void ClusterNode::handle(const WorkerNotice &report, std::chrono::milliseconds patience,
                          std::function<void(Result<WorkerNoticeReply>)> done)
 {
-    this->links.askLeader(RequestKind::Announcement, encodeRecord(report),
-                          this->clock.steadyNow() + patience,
-                          decodeReply<WorkerNoticeReply>(
-                              [this, done = std::move(done)](Result<WorkerNoticeReply> result) {
-                                  if (ok(result)) {
-                                      valueOf(result).nextReports = this->links.leaderReports();
-                                  }
-                                  done(std::move(result));
-                              }));
+    const std::optional<WorkerRecord> known
+        = report.leaving ? std::nullopt : this->state.worker(report.worker.id);
+    if (known && sameAnnouncement(*known, report.worker) && this->links.leader()) {
+        // Nothing has changed, so the worker need not wait for the leader.
+        {
+            const std::lock_guard lock(this->heardMutex);
+            this->heard.push_back(
+                HeardWorker{.id = known->id, .life = known->life, .clock = report.clock});
+            if (!this->passScheduled) {
+                this->passScheduled = true;
+                this->executor.after(heardInterval, [this]() { this->passHeardOn(); });
+            }
+        }
+        done(WorkerNoticeReply{.taken = true, .nextReports = std::nullopt});
+        return;
+    }
+    this->links.askLeader(
+        RequestKind::Announcement, encodeRecord(report), this->clock.steadyNow() + patience,
+        decodeReply<WorkerNoticeReply>([done = std::move(done)](Result<WorkerNoticeReply> result) {
+            done(std::move(result));
+        }));
+}
+
+void ClusterNode::passHeardOn()
+{
+    std::vector<HeardWorker> workers;
+    {
+        const std::lock_guard lock(this->heardMutex);
+        workers.swap(this->heard);
+        this->passScheduled = false;
+    }
+    if (this->stopping) {
+        return;
+    }
+    this->links.askLeader(RequestKind::HeardWorkers, encodeRecord(workers),
+                          this->clock.steadyNow() + heardPatience,
+                          [count = workers.size()](const Result<std::string> &result) {
+                              if (!ok(result)) {
+                                  spdlog::info("event=heard-not-passed-on workers={} {}", count,
+                                               describe(errorOf(result)));
+                              }
+                          });
 }
 
 void ClusterNode::serve(RequestKind kind, const std::string &request,
@@ -239,6 +276,13 @@
             this->desk.serve(content, encodeReply<WorkerNoticeReply>(std::move(done)));
         });
         return;
+    case RequestKind::HeardWorkers:
+        decoded(decodeRecord<std::vector<HeardWorker>>(request),
+                [&](const std::vector<HeardWorker> &content) {
+                    this->desk.serve(content);
+                    done(std::string());
+                });
+        return;
     case RequestKind::Advice:
         break;
     }
--- a/libs/cluster/src/cluster_records.h
+++ b/libs/cluster/src/cluster_records.h
@@ -70,6 +70,12 @@
     codec(value.leaving, value.worker, value.clock);
 }
 
+template<typename Codec>
+void fields(Codec &codec, HeardWorker &value)
+{
+    codec(value.id, value.life, value.clock);
+}
+
 template<typename Codec>
 void fields(Codec &codec, WorkerNoticeReply &value)
 {
--- a/libs/cluster/src/leader_desk.cpp
+++ b/libs/cluster/src/leader_desk.cpp
@@ -142,19 +142,18 @@
                            .customer = customer,
                            .attempts = queue.attempts,
                            .spec = request.spec};
-    this->log.propose(
-        std::move(command),
-        [this, id, accepted, done = std::move(done)](const Result<CommandOutcome> &result) {
-            if (!ok(result)) {
-                spdlog::info("event=workflow-not-stored workflow={} {}", id.value,
-                             describe(errorOf(result)));
-                done(errorOf(result));
-                return;
-            }
-            spdlog::debug("event=workflow-accepted workflow={} new={}", id.value,
-                          valueOf(result).changed);
-            done(accepted);
-        });
+    this->log.propose(std::move(command),
+                      [id, accepted, done = std::move(done)](const Result<CommandOutcome> &result) {
+                          if (!ok(result)) {
+                              spdlog::info("event=workflow-not-stored workflow={} {}", id.value,
+                                           describe(errorOf(result)));
+                              done(errorOf(result));
+                              return;
+                          }
+                          spdlog::debug("event=workflow-accepted workflow={} new={}", id.value,
+                                        valueOf(result).changed);
+                          done(accepted);
+                      });
 }
 
 void LeaderDesk::cancel(const WorkflowId &id, std::function<void(Result<CallerReply>)> done)
@@ -232,8 +231,18 @@
     done(OperatorReply{.done = false, .document = "the order is not known"});
 }
 
+void LeaderDesk::serve(const std::vector<HeardWorker> &workers)
+{
+    for (const HeardWorker &heard : workers) {
+        const std::optional<WorkerRecord> known = this->state.worker(heard.id);
+        if (known && known->life == heard.life) {
+            this->dispatcher.workerHeard(*known, heard.clock);
+        }
+    }
+}
+
 void LeaderDesk::serve(const WorkerNotice &report,
-                       std::function<void(Result<WorkerNoticeReply>)> done)
+                       const std::function<void(Result<WorkerNoticeReply>)> &done)
 {
     const WorkerNoticeReply taken{.taken = true, .nextReports = std::nullopt};
     const std::optional<WorkerRecord> known = this->state.worker(report.worker.id);
--- a/libs/dispatch/include/dispatch/live_work.h
+++ b/libs/dispatch/include/dispatch/live_work.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <unordered_set>
 #include <vector>
 
 #include <dispatch/ports.h>
@@ -49,11 +50,11 @@
     SteadyTime notBefore;
 };
 
-/** What the adviser has said about one worker and one step. */
-struct Eligibility
+/** A worker that the adviser allows to run a step. */
+struct AllowedWorker
 {
-    bool allowed = false;
-    WorkerLife life;
+    /** The board's number for this life of the worker. */
+    std::uint32_t slot = 0;
     std::string ticket;
     SteadyTime validUntil;
 };
@@ -64,7 +65,9 @@
     std::size_t done = 0;
     /** Tasks that neither run nor are done. */
     std::size_t waiting = 0;
-    std::map<InstanceId, Eligibility> eligibility;
+    std::vector<AllowedWorker> allowed;
+    /** The slots of all workers that the adviser was asked about. */
+    std::unordered_set<std::uint32_t> asked;
     bool asking = false;
     SteadyTime askAgainAt;
     bool ready = false;
@@ -79,6 +82,8 @@
     std::string queue;
     CustomerId customer;
     std::shared_ptr<const WorkflowSpec> spec;
+    /** The longest chain of estimates through the steps. */
+    Duration chain{};
     SteadyTime acceptedAt;
     /** Cancelled or failed: runs are being stopped and none begins. */
     bool ended = false;
--- a/libs/dispatch/include/dispatch/upstream_board.h
+++ b/libs/dispatch/include/dispatch/upstream_board.h
@@ -10,6 +10,7 @@
 
 #include <dispatch/customer_ledger.h>
 #include <dispatch/live_work.h>
+#include <dispatch/placement_choice.h>
 #include <dispatch/ports.h>
 #include <dispatch/settings.h>
 #include <dispatch/upstream_worker.h>
@@ -130,11 +131,15 @@
     struct Candidate;
     void wantPass(Effects &effects);
     void pass(Effects &effects);
+    struct Round;
     std::vector<Candidate> candidates(SteadyTime now);
+    Round beginRound(SteadyTime now);
     bool isUsable(const UpstreamWorker &worker, SteadyTime now) const;
     bool isCapable(const UpstreamWorker &worker, const StepSpec &spec) const;
-    std::size_t place(Candidate &candidate, std::vector<RunAssignment> &runs, SteadyTime now);
-    void ask(Candidate &candidate, SteadyTime now, Effects &effects);
+    std::size_t place(Candidate &candidate, Round &round);
+    std::vector<Seat> seatsFor(const Candidate &candidate, const Round &round) const;
+    void ask(Candidate &candidate, const Round &round, Effects &effects);
+    std::vector<InstanceId> workersToAsk(const Candidate &candidate, const Round &round) const;
     void onAdvice(const AdviceRequest &request, const Result<AdviceReply> &result,
                   Effects &effects);
     void reserve(UpstreamWorker &worker, const TaskKey &key, const StepSpec &spec,
@@ -149,6 +154,7 @@
     bool closed = false;
     bool passScheduled = false;
     SteadyTime lastPass;
+    std::uint32_t lastSlot = 0;
     std::map<InstanceId, UpstreamWorker> workers;
     std::map<WorkflowId, LiveWorkflow> workflows;
     /** Ended workflows with a run released lately; dropped when no entry point uses them. */
--- a/libs/dispatch/include/dispatch/upstream_worker.h
+++ b/libs/dispatch/include/dispatch/upstream_worker.h
@@ -29,6 +29,8 @@
 struct UpstreamWorker
 {
     WorkerRecord record;
+    /** The board's number for this life. */
+    std::uint32_t slot = 0;
     /** What the runs below need, including those that are being stopped. */
     Resources reserved;
     std::map<TaskKey, RunNumber> runs;
--- a/libs/dispatch/src/board_placement.cpp
+++ b/libs/dispatch/src/board_placement.cpp
@@ -3,6 +3,7 @@
 #include <dispatch/upstream_board.h>
 
 #include <algorithm>
+#include <unordered_map>
 
 #include <dispatch/placement_choice.h>
 #include <dispatch/urgency.h>
@@ -17,6 +18,8 @@
 /** Workers that are asked about for each task of a step that does not start together. */
 constexpr std::size_t askedPerTask = 4;
 constexpr std::size_t minAskedWorkers = 10;
+/** How often a step that can't be placed looks for further workers to ask about. */
+constexpr std::chrono::milliseconds askPause{50};
 /** How long a question that failed waits for the next try. */
 constexpr std::chrono::milliseconds askRetry{150};
 
@@ -50,6 +53,28 @@
     });
 }
 
+/** What one placement pass works on. */
+struct UpstreamBoard::Round
+{
+    SteadyTime now;
+    std::vector<UpstreamWorker *> usable;
+    std::unordered_map<std::uint32_t, UpstreamWorker *> bySlot;
+    std::vector<RunAssignment> runs;
+};
+
+UpstreamBoard::Round UpstreamBoard::beginRound(SteadyTime now)
+{
+    Round round;
+    round.now = now;
+    for (auto &[id, worker] : this->workers) {
+        if (this->isUsable(worker, now)) {
+            round.usable.push_back(&worker);
+            round.bySlot.emplace(worker.slot, &worker);
+        }
+    }
+    return round;
+}
+
 void UpstreamBoard::pass(Effects &effects)
 {
     this->passScheduled = false;
@@ -58,15 +83,19 @@
     if (this->config == nullptr) {
         return;
     }
-    std::vector<RunAssignment> runs;
-    for (Candidate &candidate : this->candidates(now)) {
-        this->place(candidate, runs, now);
+    std::vector<Candidate> waiting = this->candidates(now);
+    if (waiting.empty()) {
+        return;
+    }
+    Round round = this->beginRound(now);
+    for (Candidate &candidate : waiting) {
+        this->place(candidate, round);
         if (candidate.step->waiting > 0 && candidate.advice) {
-            this->ask(candidate, now, effects);
+            this->ask(candidate, round, effects);
         }
     }
-    if (!runs.empty()) {
-        this->propose(std::move(runs), effects);
+    if (!round.runs.empty()) {
+        this->propose(std::move(round.runs), effects);
     }
 }
 
@@ -79,7 +108,6 @@
         }
         const QueueRule *queue = findQueueByName(*this->config, workflow.queue);
         const CustomerRule *customer = findCustomer(*this->config, workflow.customer);
-        const auto chain = longestChain(*workflow.spec);
         for (auto &[number, occurrence] : workflow.occurrences) {
             Duration remaining{};
             for (std::size_t step = 0; step < occurrence.size(); ++step) {
@@ -102,7 +130,7 @@
                 if (queue != nullptr) {
                     candidate.advice = queue->advice;
                     candidate.urgency.priority = queue->priority;
-                    const std::chrono::duration<double, std::milli> slack(chain);
+                    const std::chrono::duration<double, std::milli> slack(workflow.chain);
                     candidate.urgency.objective = workflow.acceptedAt
                         + std::chrono::duration_cast<Duration>(slack * queue->slackFactor)
                         + queue->completionTarget;
@@ -139,18 +167,56 @@
         && !firstShortage(footprint(spec), worker.record.capacity);
 }
 
-std::size_t UpstreamBoard::place(Candidate &candidate, std::vector<RunAssignment> &runs,
-                                 SteadyTime now)
+std::vector<Seat> UpstreamBoard::seatsFor(const Candidate &candidate, const Round &round) const
+{
+    const StepSpec &spec = *candidate.spec;
+    std::map<InstanceId, std::uint32_t> sameStep;
+    if (spec.maxPerWorker > 0) {
+        for (const LiveTask &task : candidate.step->tasks) {
+            if (task.run) {
+                ++sameStep[task.run->worker];
+            }
+        }
+    }
+    std::vector<Seat> seats;
+    const auto offer = [&](const UpstreamWorker &worker) {
+        if (!this->isCapable(worker, spec)) {
+            return;
+        }
+        const auto same = sameStep.find(worker.record.id);
+        seats.push_back(Seat{.worker = worker.slot,
+                             .free = freeOf(worker),
+                             .sameStep = same == sameStep.end() ? 0 : same->second,
+                             .rack = worker.record.rack,
+                             .penalty = static_cast<double>(worker.failuresInRow)});
+    };
+    if (!candidate.advice) {
+        for (const UpstreamWorker *worker : round.usable) {
+            offer(*worker);
+        }
+        return seats;
+    }
+    for (const AllowedWorker &allowed : candidate.step->allowed) {
+        const auto worker = round.bySlot.find(allowed.slot);
+        if (worker != round.bySlot.end()
+            && allowed.validUntil >= round.now + this->settings.ticketMargin) {
+            offer(*worker->second);
+        }
+    }
+    return seats;
+}
+
+std::size_t UpstreamBoard::place(Candidate &candidate, Round &round)
 {
     const StepSpec &spec = *candidate.spec;
     LiveStep &step = *candidate.step;
     std::vector<std::uint32_t> waiting;
-    std::map<InstanceId, std::uint32_t> perWorker;
+    // A gang's members share one number, which is new to all of them.
+    RunNumber gangRun;
     for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
         const LiveTask &task = step.tasks[index];
-        if (task.run) {
-            ++perWorker[task.run->worker];
-        } else if (!task.done && task.notBefore <= now) {
+        gangRun = std::max(gangRun, task.lastRun);
+        if (!task.run && !task.done && task.notBefore <= round.now) {
             waiting.push_back(index);
         }
     }
@@ -158,27 +224,6 @@
     if (waiting.empty() || (spec.gang && waiting.size() < step.tasks.size())) {
         return 0;
     }
-    std::vector<Seat> seats;
-    std::vector<UpstreamWorker *> seated;
-    for (auto &[id, worker] : this->workers) {
-        if (!this->isUsable(worker, now) || !this->isCapable(worker, spec)) {
-            continue;
-        }
-        if (candidate.advice) {
-            const auto advised = step.eligibility.find(id);
-            if (advised == step.eligibility.end() || !advised->second.allowed
-                || advised->second.life != worker.record.life
-                || advised->second.validUntil < now + this->settings.ticketMargin) {
-                continue;
-            }
-        }
-        seats.push_back(Seat{.worker = seated.size(),
-                             .free = freeOf(worker),
-                             .sameStep = perWorker[id],
-                             .rack = worker.record.rack,
-                             .penalty = static_cast<double>(worker.failuresInRow)});
-        seated.push_back(&worker);
-    }
     const std::vector<std::size_t> places
         = choosePlaces(SeatRequest{.size = footprint(spec),
                                    .count = static_cast<std::uint32_t>(waiting.size()),
@@ -186,28 +231,20 @@
                                    .oneRack = spec.rackSensitive,
                                    .dataRack = RackId(spec.dataRack),
                                    .maxPerWorker = spec.maxPerWorker},
-                       std::move(seats));
-    // A gang's members share one number, which is new to all of them.
-    RunNumber gangRun;
-    for (const LiveTask &task : step.tasks) {
-        gangRun = std::max(gangRun, task.lastRun);
-    }
+                       this->seatsFor(candidate, round));
+    const CustomerId &customer = candidate.live->customer;
     if (spec.gang && !places.empty()) {
         const auto whole = multiply(spec.size, static_cast<std::uint32_t>(waiting.size()));
-        if (!whole
-            || !this->context.ledger->tryReserve(candidate.live->customer, *whole,
-                                                 candidate.limit)) {
+        if (!whole || !this->context.ledger->tryReserve(customer, *whole, candidate.limit)) {
             return 0;
         }
     }
     std::size_t placed = 0;
     for (std::size_t i = 0; i < places.size(); ++i) {
-        if (!spec.gang
-            && !this->context.ledger->tryReserve(candidate.live->customer, spec.size,
-                                                 candidate.limit)) {
+        if (!spec.gang && !this->context.ledger->tryReserve(customer, spec.size, candidate.limit)) {
             break;
         }
-        UpstreamWorker &worker = *seated[places[i]];
+        UpstreamWorker &worker = *round.bySlot.at(static_cast<std::uint32_t>(places[i]));
         LiveTask &task = step.tasks[waiting[i]];
         const TaskKey key{.workflow = candidate.workflow,
                           .occurrence = candidate.occurrence,
@@ -216,16 +253,19 @@
         LiveRun run;
         run.number = RunNumber((spec.gang ? gangRun : task.lastRun).value + 1);
         run.worker = worker.record.id;
-        run.since = now;
-        if (candidate.advice) {
-            run.ticket = step.eligibility.at(worker.record.id).ticket;
+        run.since = round.now;
+        const auto allowed
+            = std::find_if(step.allowed.begin(), step.allowed.end(),
+                           [&](const AllowedWorker &entry) { return entry.slot == worker.slot; });
+        if (allowed != step.allowed.end()) {
+            run.ticket = allowed->ticket;
         }
         task.lastRun = run.number;
-        runs.push_back(RunAssignment{.task = key,
-                                     .run = run.number,
-                                     .worker = run.worker,
-                                     .life = worker.record.life,
-                                     .checkpoint = task.checkpoint});
+        round.runs.push_back(RunAssignment{.task = key,
+                                           .run = run.number,
+                                           .worker = run.worker,
+                                           .life = worker.record.life,
+                                           .checkpoint = task.checkpoint});
         this->reserve(worker, key, spec, run.number);
         task.run = std::move(run);
         --step.waiting;
@@ -235,69 +275,83 @@
     return placed;
 }
 
-void UpstreamBoard::ask(Candidate &candidate, SteadyTime now, Effects &effects)
+std::vector<InstanceId> UpstreamBoard::workersToAsk(const Candidate &candidate,
+                                                    const Round &round) const
 {
-    LiveStep &step = *candidate.step;
+    const LiveStep &step = *candidate.step;
     const StepSpec &spec = *candidate.spec;
-    if (step.asking || now < step.askAgainAt) {
-        return;
-    }
     const SeatRequest one{.size = footprint(spec),
                           .count = spec.count,
                           .together = spec.gang,
                           .oneRack = false,
                           .dataRack = {},
                           .maxPerWorker = spec.maxPerWorker};
-    std::vector<std::pair<std::int64_t, InstanceId>> unknown;
-    std::vector<std::pair<std::int64_t, InstanceId>> expired;
+    const auto fit = [&](const UpstreamWorker &worker) -> std::uint64_t {
+        return tasksThatFit(Seat{.worker = worker.slot,
+                                 .free = freeOf(worker),
+                                 .sameStep = 0,
+                                 .rack = {},
+                                 .penalty = 0.0},
+                            one);
+    };
     std::uint64_t seatsHeld = 0;
     std::uint64_t seatsAllowed = 0;
-    for (const auto &[id, worker] : this->workers) {
-        if (!this->isUsable(worker, now) || !this->isCapable(worker, spec)) {
-            continue;
-        }
-        const Resources free = freeOf(worker);
-        const std::uint32_t fit = tasksThatFit(
-            Seat{.worker = 0, .free = free, .sameStep = 0, .rack = {}, .penalty = 0.0}, one);
-        const auto advised = step.eligibility.find(id);
-        const bool known
-            = advised != step.eligibility.end() && advised->second.life == worker.record.life;
-        if (!known) {
-            unknown.emplace_back(-free.cpu.value, id);
-        } else if (advised->second.allowed && fit > 0) {
-            seatsAllowed += fit;
-            if (advised->second.validUntil < now + this->settings.ticketMargin) {
-                expired.emplace_back(-free.cpu.value, id);
-            } else {
-                seatsHeld += fit;
-            }
+    std::vector<InstanceId> expired;
+    for (const AllowedWorker &allowed : step.allowed) {
+        const auto worker = round.bySlot.find(allowed.slot);
+        const std::uint64_t seats = worker == round.bySlot.end() ? 0 : fit(*worker->second);
+        seatsAllowed += seats;
+        if (allowed.validUntil >= round.now + this->settings.ticketMargin) {
+            seatsHeld += seats;
+        } else if (seats > 0) {
+            expired.push_back(worker->second->record.id);
         }
     }
     const std::uint64_t wanted = spec.gang ? spec.count : step.waiting;
-    std::vector<std::pair<std::int64_t, InstanceId>> chosen;
     if (!expired.empty() && seatsHeld < wanted && (!spec.gang || seatsAllowed >= wanted)) {
         // Enough room on workers that are known to be allowed: only their tickets are renewed.
-        chosen = std::move(expired);
-    } else if (!unknown.empty() && seatsAllowed < wanted) {
-        std::sort(unknown.begin(), unknown.end());
-        const std::size_t most = spec.gang
-            ? maxAskedWorkers
-            : std::min(maxAskedWorkers, std::max(minAskedWorkers, askedPerTask * step.waiting));
-        unknown.resize(std::min(unknown.size(), most));
-        chosen = std::move(unknown);
+        expired.resize(std::min(expired.size(), maxAskedWorkers));
+        return expired;
+    }
+    if (seatsAllowed >= wanted) {
+        return {};
     }
-    if (chosen.empty()) {
+    std::vector<std::pair<std::int64_t, const UpstreamWorker *>> unknown;
+    for (const UpstreamWorker *worker : round.usable) {
+        if (!step.asked.contains(worker->slot) && this->isCapable(*worker, spec)) {
+            unknown.emplace_back(-freeOf(*worker).cpu.value, worker);
+        }
+    }
+    const std::size_t most
+        = std::min(spec.gang ? maxAskedWorkers
+                             : std::min(maxAskedWorkers,
+                                        std::max(minAskedWorkers, askedPerTask * step.waiting)),
+                   unknown.size());
+    std::partial_sort(unknown.begin(), unknown.begin() + static_cast<std::ptrdiff_t>(most),
+                      unknown.end(), [](const auto &left, const auto &right) {
+                          return std::pair(left.first, left.second->slot)
+                              < std::pair(right.first, right.second->slot);
+                      });
+    std::vector<InstanceId> chosen;
+    for (std::size_t i = 0; i < most; ++i) {
+        chosen.push_back(unknown[i].second->record.id);
+    }
+    return chosen;
+}
+
+void UpstreamBoard::ask(Candidate &candidate, const Round &round, Effects &effects)
+{
+    LiveStep &step = *candidate.step;
+    if (step.asking || round.now < step.askAgainAt) {
         return;
     }
     AdviceRequest request{.workflow = candidate.workflow,
                           .occurrence = candidate.occurrence,
                           .step = candidate.number,
-                          .workers = {}};
-    for (auto &[order, id] : chosen) {
-        request.workers.push_back(id);
-    }
-    if (request.workers.size() > maxAskedWorkers) {
-        request.workers.resize(maxAskedWorkers);
+                          .workers = this->workersToAsk(candidate, round)};
+    if (request.workers.empty()) {
+        step.askAgainAt = round.now + askPause;
+        return;
     }
     step.asking = true;
     const std::chrono::microseconds cost = candidate.advice->decision
@@ -332,19 +386,20 @@
     const AdviceReply &reply = valueOf(result);
     for (const InstanceId &id : request.workers) {
         const auto worker = this->workers.find(id);
-        if (worker != this->workers.end()) {
-            step->eligibility[id] = Eligibility{.allowed = false,
-                                                .life = worker->second.record.life,
-                                                .ticket = {},
-                                                .validUntil = {}};
+        if (worker == this->workers.end()) {
+            continue;
         }
+        const std::uint32_t slot = worker->second.slot;
+        step->asked.insert(slot);
+        std::erase_if(step->allowed,
+                      [slot](const AllowedWorker &known) { return known.slot == slot; });
     }
     for (const AdviceTicket &ticket : reply.tickets) {
-        const auto known = step->eligibility.find(ticket.worker);
-        if (known != step->eligibility.end()) {
-            known->second.allowed = true;
-            known->second.ticket = ticket.ticket;
-            known->second.validUntil = now + reply.validity;
+        const auto worker = this->workers.find(ticket.worker);
+        if (worker != this->workers.end()) {
+            step->allowed.push_back(AllowedWorker{.slot = worker->second.slot,
+                                                  .ticket = ticket.ticket,
+                                                  .validUntil = now + reply.validity});
         }
     }
     this->wantPass(effects);
--- a/libs/dispatch/src/board_runs.cpp
+++ b/libs/dispatch/src/board_runs.cpp
@@ -171,7 +171,10 @@
     if (ok(result) && valueOf(result).verdict == StartVerdict::NoTicket) {
         LiveStep *step = nullptr;
         this->findTask(key, nullptr, &step);
-        step->eligibility.erase(id);
+        std::erase_if(step->allowed, [&](const AllowedWorker &allowed) {
+            return allowed.slot == worker->second.slot;
+        });
+        step->asked.erase(worker->second.slot);
     }
     this->breakGang(key, run, effects);
     this->releaseRun(key, effects);
@@ -291,7 +294,7 @@
         return;
     }
     const StepSpec &spec = workflow->spec->steps[key.step];
-    const auto finish = [&](LiveTask &ended, TaskKey endedKey) {
+    const auto finish = [&](LiveTask &ended, const TaskKey &endedKey) {
         if (!ended.run) {
             --step->waiting;
         }
--- a/libs/dispatch/src/board_workers.cpp
+++ b/libs/dispatch/src/board_workers.cpp
@@ -24,6 +24,7 @@
     const std::lock_guard lock(this->mutex);
     UpstreamWorker &known = this->workers[worker.id];
     known.record = worker;
+    known.slot = ++this->lastSlot;
     known.heardAt = this->context.clock.steadyNow();
     // An earlier leader's last grant can have been made just before this term began.
     const std::chrono::duration<double, std::milli> longest(this->settings.workerLease);
@@ -61,6 +62,7 @@
     const SteadyTime now = this->context.clock.steadyNow();
     const std::map<TaskKey, RunNumber> runs = worker.runs;
     worker.record = record;
+    worker.slot = ++this->lastSlot;
     worker.clock.reset();
     worker.leaseGranted = WorkerTime{};
     worker.seenEnds = 0;
@@ -230,7 +232,9 @@
     this->noteEnds(worker, reply.ended, effects);
     this->settleUnlisted(worker, reply, sentAt, effects);
     this->wantPass(effects);
-    again(reply.ended.empty() ? Duration::zero() : Duration(this->settings.holdPause));
+    const Duration pause = this->settings.holdPause
+        + this->settings.holdPausePerWorker * static_cast<std::int64_t>(this->workers.size());
+    again(reply.ended.empty() ? Duration::zero() : pause);
 }
 
 void UpstreamBoard::noteRunning(UpstreamWorker &worker, const RunningEntry &entry, Effects &effects)
--- a/libs/dispatch/src/upstream_board.cpp
+++ b/libs/dispatch/src/upstream_board.cpp
@@ -6,13 +6,6 @@
 
 namespace gooseberry {
 
-namespace {
-
-/** How early an occurrence of a timetable is prepared, so that advice is there when it is due. */
-constexpr std::chrono::milliseconds occurrenceLead{1500};
-
-} // namespace
-
 Resources footprint(const StepSpec &spec)
 {
     Resources size = spec.size;
@@ -121,6 +114,7 @@
     live.queue = workflow.queue;
     live.customer = workflow.customer;
     live.spec = workflow.spec;
+    live.chain = longestChain(*workflow.spec);
     // The cell's time may have passed since; the difference is what the workflow has waited.
     const Duration waited = this->context.state.time() - workflow.acceptedAt;
     live.acceptedAt = this->context.clock.steadyNow() - std::max(waited, Duration::zero());
