Count the runs of ended workflows against their workers

Cause: a leader that took over knew the runs of live workflows only.

Change: listed runs that the board does not keep are counted as strays with the size of their step, stopped, and looked at until they are gone. A silent worker's lease is no longer extended by holds that get no answer.

Measured: the new test starts a third run on the full worker without the change and waits with it.

--- a/libs/cluster/src/cluster_node.cpp
+++ b/libs/cluster/src/cluster_node.cpp
@@ -341,6 +341,12 @@
               static_cast<double>(status.term.value));
         gauge("gooseberrylead_voters", "The voters of the log.",
               static_cast<double>(status.membership.voters.size()));
+        const auto disk = status.membership.disks.find(this->links.self());
+        gauge("gooseberrylead_voter", "Whether this node votes with the disk that it has.",
+              disk != status.membership.disks.end() && disk->second == status.disk
+                      && status.membership.voters.contains(this->links.self())
+                  ? 1.0
+                  : 0.0);
         gauge("gooseberrylead_committed_index", "The last committed entry of the log.",
               static_cast<double>(status.committed.value));
     }
--- /dev/null
+++ b/libs/cluster/test/cluster_test.cpp
@@ -0,0 +1,367 @@
+// Whole nodes on loopback addresses: how a cell forms, finds its leader and repairs itself.
+
+#include <atomic>
+#include <condition_variable>
+#include <filesystem>
+#include <thread>
+
+#include <boost/test/unit_test.hpp>
+#include <cluster/cluster.h>
+#include <codec/codec.h>
+
+using namespace gooseberry;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** Workers that no test here reaches. */
+class NoWorkers : public WorkerOrders
+{
+public:
+    void start(const WorkerRef & /*worker*/, const StartOrder & /*order*/,
+               std::function<void(Result<StartReply>)> done) override
+    {
+        done(unreachable());
+    }
+    void stop(const WorkerRef & /*worker*/, const StopOrder & /*order*/,
+              std::function<void(Status)> done) override
+    {
+        done(unreachable());
+    }
+    void hold(const WorkerRef & /*worker*/, const HoldOrder & /*order*/,
+              std::function<void(Result<HoldReply>)> done) override
+    {
+        done(unreachable());
+    }
+
+private:
+    static Error unreachable()
+    {
+        return Error{.code = ErrorCode::Unavailable,
+                     .step = Step::Send,
+                     .peer = {},
+                     .message = "no workers here",
+                     .outcome = Outcome::NotRun};
+    }
+};
+
+class NoAdviser : public AdviserAccess
+{
+public:
+    void advise(const AdviceRequest & /*request*/, std::chrono::microseconds /*cost*/,
+                std::function<void(Result<AdviceReply>)> done) override
+    {
+        done(AdviceReply{});
+    }
+};
+
+/** One node with what it needs of a process. */
+struct TestNode
+{
+    TestNode(NodeSettings settings, const Clock &clock)
+        : executor(std::make_unique<Executor>(1U))
+        , node(std::make_unique<ClusterNode>(std::move(settings), clock, *executor, workers,
+                                             adviser))
+    {
+        BOOST_REQUIRE(ok(this->node->start()));
+    }
+    ~TestNode()
+    {
+        this->node->stop();
+        this->executor->stop();
+    }
+
+    NoWorkers workers;
+    NoAdviser adviser;
+    std::unique_ptr<Executor> executor;
+    std::unique_ptr<ClusterNode> node;
+};
+
+/** Waits for an answer that comes on another thread. */
+template<typename T>
+class Awaited
+{
+public:
+    std::function<void(T)> callback()
+    {
+        return [this](T answer) {
+            const std::lock_guard lock(this->mutex);
+            this->value = std::move(answer);
+            this->changed.notify_all();
+        };
+    }
+    T get()
+    {
+        std::unique_lock lock(this->mutex);
+        BOOST_REQUIRE(
+            this->changed.wait_for(lock, 30s, [this]() { return this->value.has_value(); }));
+        return *this->value;
+    }
+
+private:
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::optional<T> value;
+};
+
+/** Keepers 1 to 5 of which the first three are seeds, and an entry node that knows only these. */
+struct CellFixture
+{
+    CellFixture()
+        : folder(std::filesystem::temp_directory_path()
+                 / ("gl-cluster-" + std::to_string(::getpid()) + "-" + std::to_string(++cells)))
+    {
+        std::filesystem::create_directories(this->folder);
+        this->port = static_cast<std::uint16_t>(21'000 + ::getpid() % 4000 * 10 + cells % 10);
+    }
+    ~CellFixture()
+    {
+        this->nodes.clear();
+        std::filesystem::remove_all(this->folder);
+    }
+
+    static std::string host(int number)
+    {
+        return "127.0.7." + std::to_string(number);
+    }
+
+    NodeSettings settings(int number, bool bootstrap) const
+    {
+        NodeSettings made;
+        made.id = InstanceId("node-" + std::to_string(number));
+        made.domain = FailureDomainId("domain");
+        made.host = host(number);
+        made.peerPort = this->port;
+        for (int seed = 1; seed <= 3; ++seed) {
+            made.seeds.push_back(Address{.host = host(seed), .port = 1});
+        }
+        made.bootstrap = bootstrap;
+        return made;
+    }
+
+    void startKeeper(int number, bool bootstrap)
+    {
+        NodeSettings made = this->settings(number, bootstrap);
+        made.dataFolder = this->folder / std::to_string(number);
+        this->nodes[number] = std::make_unique<TestNode>(made, this->clock);
+    }
+
+    void startEntry(int number)
+    {
+        this->nodes[number]
+            = std::make_unique<TestNode>(this->settings(number, false), this->clock);
+    }
+
+    void formCell()
+    {
+        for (int number = 1; number <= 5; ++number) {
+            this->startKeeper(number, true);
+        }
+        this->startEntry(9);
+        this->waitForVoters(5);
+    }
+
+    double metric(int number, const std::string &name)
+    {
+        const std::string text = "\n" + this->nodes.at(number)->node->metrics();
+        const std::size_t at = text.find("\n" + name + " ");
+        return at == std::string::npos ? -1.0 : std::stod(text.substr(at + name.size() + 2));
+    }
+
+    int leader()
+    {
+        for (const auto &[number, node] : this->nodes) {
+            if (this->metric(number, "gooseberrylead_leads") == 1.0) {
+                return number;
+            }
+        }
+        return 0;
+    }
+
+    void waitUntil(const std::function<bool()> &condition)
+    {
+        for (int i = 0; i < 600; ++i) {
+            if (condition()) {
+                return;
+            }
+            std::this_thread::sleep_for(50ms);
+        }
+        BOOST_REQUIRE(condition());
+    }
+
+    void waitForVoters(int count)
+    {
+        this->waitUntil([&]() {
+            const int leads = this->leader();
+            return leads != 0 && this->metric(leads, "gooseberrylead_voters") == count;
+        });
+    }
+
+    /** Puts a configuration into force through the node. */
+    bool put(int through, std::uint64_t version)
+    {
+        OperatorRequest request;
+        request.action = OperatorAction::PutConfig;
+        request.config.version = ConfigVersion(version);
+        request.config.document = "version " + std::to_string(version);
+        Awaited<Result<OperatorReply>> reply;
+        this->nodes.at(through)->node->handle(request, 10s, reply.callback());
+        const Result<OperatorReply> result = reply.get();
+        return ok(result) && valueOf(result).done;
+    }
+
+    std::string read(int through)
+    {
+        OperatorRequest request;
+        request.action = OperatorAction::ReadConfig;
+        Awaited<Result<OperatorReply>> reply;
+        this->nodes.at(through)->node->handle(request, 10s, reply.callback());
+        const Result<OperatorReply> result = reply.get();
+        return ok(result) ? valueOf(result).document : describe(errorOf(result));
+    }
+
+    static inline std::atomic<int> cells{0};
+    SystemClock clock;
+    std::filesystem::path folder;
+    std::uint16_t port = 0;
+    std::map<int, std::unique_ptr<TestNode>> nodes;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(ClusterTest, CellFixture)
+
+BOOST_AUTO_TEST_CASE(FormsFromSeedsAndServesThroughEveryNode)
+{
+    this->formCell();
+    BOOST_TEST(this->put(9, 1));
+    for (const auto &[number, node] : this->nodes) {
+        BOOST_TEST(this->read(number) == "version 1");
+    }
+}
+
+// Guards against entry nodes that know only seeds and find no leader when none of these leads.
+BOOST_AUTO_TEST_CASE(AnEntryNodeFindsALeaderThatIsNoSeed)
+{
+    this->formCell();
+    BOOST_TEST(this->put(9, 1));
+    // Only keepers that are no seeds can lead once the seeds are gone.
+    this->nodes.erase(9);
+    for (int tries = 0; tries < 10 && this->leader() <= 3; ++tries) {
+        const int leads = this->leader();
+        if (leads != 0) {
+            this->nodes.at(leads)->node->prepareStop();
+            this->nodes.erase(leads);
+            this->startKeeper(leads, false);
+        }
+        this->waitUntil([&]() { return this->leader() != 0; });
+    }
+    this->startEntry(9);
+    BOOST_TEST(this->read(9) == "version 1");
+}
+
+BOOST_AUTO_TEST_CASE(ReplacesALostVoterByANewNodeAtAnotherAddress)
+{
+    this->formCell();
+    BOOST_TEST(this->put(9, 1));
+    const int lost = this->leader() == 2 ? 3 : 2;
+    this->nodes.erase(lost);
+    this->startKeeper(6, false);
+    this->waitUntil([&]() {
+        const int leads = this->leader();
+        return leads != 0 && this->metric(leads, "gooseberrylead_voters") == 5
+            && this->metric(6, "gooseberrylead_voter") == 1.0;
+    });
+    // Two more losses are borne now, which needs the vote of the new node.
+    int others = 0;
+    for (int number = 1; number <= 5 && others < 2; ++number) {
+        if (this->nodes.contains(number) && number != this->leader()) {
+            this->nodes.erase(number);
+            ++others;
+        }
+    }
+    BOOST_TEST(this->put(6, 2));
+    BOOST_TEST(this->read(6) == "version 2");
+}
+
+BOOST_AUTO_TEST_CASE(RestoresAVoterThatLostItsDisk)
+{
+    this->formCell();
+    BOOST_TEST(this->put(9, 1));
+    const int wiped = this->leader() == 4 ? 5 : 4;
+    this->nodes.erase(wiped);
+    std::filesystem::remove_all(this->folder / std::to_string(wiped));
+    this->startKeeper(wiped, false);
+    this->waitUntil([&]() { return this->metric(wiped, "gooseberrylead_voter") == 1.0; });
+    BOOST_TEST(this->read(wiped) == "version 1");
+}
+
+BOOST_AUTO_TEST_CASE(SaysNotRunWhenNoLeaderCanBeAsked)
+{
+    this->startEntry(9);
+    CallerRequest request;
+    request.action = CallerAction::Submit;
+    Awaited<CallerReply> reply;
+    this->nodes.at(9)->node->handle(request, 300ms, reply.callback());
+    BOOST_TEST((reply.get().outcome == CallerOutcome::Unavailable));
+    BOOST_TEST(!this->nodes.at(9)->node->ready());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(AdviceRouterTest)
+
+BOOST_AUTO_TEST_CASE(AsksThroughTheNodeWithTheShortestBacklog)
+{
+    const std::vector<AskingNode> nodes{
+        {.node = InstanceId("a"), .backlog = 300ms, .questions = 1},
+        {.node = InstanceId("b"), .backlog = 20ms, .questions = 4},
+        {.node = InstanceId("c"), .backlog = 450ms, .questions = 1}};
+    BOOST_TEST((leastBusy(nodes).node == InstanceId("b")));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(NodeSettingsTest)
+
+BOOST_AUTO_TEST_CASE(ReadsWhatIsNeededAndIgnoresWhatIsNotKnown)
+{
+    const auto settings = parseNodeSettings("instance: a\n"
+                                            "failureDomain: zone\n"
+                                            "host: 10.0.0.1\n"
+                                            "peerPort: 7000\n"
+                                            "seeds: [\"10.0.0.2:80\"]\n"
+                                            "bootstrap: true\n"
+                                            "dataFolder: \"\"\n"
+                                            "listenCallers: \"10.0.0.1:81\"\n"
+                                            "listenControl: \"\"\n"
+                                            "longestWorkerLeaseMillis: 3000\n"
+                                            "somethingNew: 7\n",
+                                            "settings.yaml");
+    BOOST_REQUIRE(ok(settings));
+    BOOST_TEST(valueOf(settings).bootstrap);
+    BOOST_TEST(!valueOf(settings).dataFolder.has_value());
+    BOOST_TEST(!valueOf(settings).listenControl.has_value());
+    BOOST_TEST(valueOf(settings).listenCallers->port == 81);
+    // The platform's bound goes before the default.
+    BOOST_TEST((valueOf(settings).dispatch.workerLease == 3s));
+}
+
+BOOST_AUTO_TEST_CASE(NamesEveryWrongValue)
+{
+    const auto settings = parseNodeSettings("instance: a\n"
+                                            "failureDomain: zone\n"
+                                            "host: 10.0.0.1\n"
+                                            "peerPort: 700000\n"
+                                            "seeds: [\"somewhere\"]\n"
+                                            "bootstrap: perhaps\n"
+                                            "logLevel: loud\n",
+                                            "settings.yaml");
+    BOOST_REQUIRE(!ok(settings));
+    const std::string message = errorOf(settings).message;
+    for (const std::string part : {"peerPort", "seed", "bootstrap", "logLevel"}) {
+        BOOST_TEST(message.find(part) != std::string::npos, message);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/libs/cluster/test/membership_step_test.cpp
@@ -0,0 +1,164 @@
+// Which change of the voters comes next.
+
+#include <boost/test/unit_test.hpp>
+#include <cluster/cluster.h>
+#include <rapidcheck.h>
+
+using namespace gooseberry;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr SteadyTime now{100s};
+
+InstanceId node(int number)
+{
+    return InstanceId("node-" + std::to_string(number));
+}
+
+MembershipView fiveVoters()
+{
+    MembershipView view;
+    view.self = node(1);
+    view.now = now;
+    view.termBegan = SteadyTime(10s);
+    for (int number = 1; number <= 5; ++number) {
+        view.membership.voters.insert(node(number));
+        view.membership.disks[node(number)] = DiskId(static_cast<std::uint64_t>(number));
+        if (number > 1) {
+            view.peers[node(number)] = PeerStatus{.heardAt = now, .caughtUp = true};
+        }
+    }
+    return view;
+}
+
+void silence(MembershipView &view, int number)
+{
+    view.peers[node(number)].heardAt = now - 5s;
+}
+
+void addLearner(MembershipView &view, int number, bool caughtUp)
+{
+    view.membership.learners.insert(node(number));
+    view.joining[node(number)] = DiskId(99);
+    view.peers[node(number)] = PeerStatus{.heardAt = now, .caughtUp = caughtUp};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(MembershipStepTest)
+
+BOOST_AUTO_TEST_CASE(LeavesCompleteVotersAlone)
+{
+    MembershipView view = fiveVoters();
+    BOOST_TEST(!nextMembershipStep(view).has_value());
+    view.joining[node(6)] = DiskId(6);
+    BOOST_TEST(!nextMembershipStep(view).has_value());
+    // Without a node that can take its place, a silent voter stays.
+    view.joining.clear();
+    silence(view, 5);
+    BOOST_TEST(!nextMembershipStep(view).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(ReplacesASilentVoterOnlyWhenAnotherNodeHasCaughtUp)
+{
+    MembershipView view = fiveVoters();
+    silence(view, 5);
+    view.joining[node(6)] = DiskId(6);
+    auto step = nextMembershipStep(view);
+    BOOST_REQUIRE(step.has_value());
+    BOOST_TEST((step->action == MembershipAction::AddLearner));
+    BOOST_TEST((step->node == node(6)));
+
+    addLearner(view, 6, false);
+    BOOST_TEST(!nextMembershipStep(view).has_value());
+    view.peers[node(6)].caughtUp = true;
+    step = nextMembershipStep(view);
+    BOOST_REQUIRE(step.has_value());
+    BOOST_TEST((step->action == MembershipAction::Remove));
+    BOOST_TEST((step->node == node(5)));
+
+    view.membership.voters.erase(node(5));
+    step = nextMembershipStep(view);
+    BOOST_REQUIRE(step.has_value());
+    BOOST_TEST((step->action == MembershipAction::Promote));
+    BOOST_TEST((step->node == node(6)));
+}
+
+BOOST_AUTO_TEST_CASE(TakesOutAVoterThatComesBackWithAnotherDisk)
+{
+    MembershipView view = fiveVoters();
+    view.joining[node(3)] = DiskId(33);
+    const auto step = nextMembershipStep(view);
+    BOOST_REQUIRE(step.has_value());
+    BOOST_TEST((step->action == MembershipAction::Remove));
+    BOOST_TEST((step->node == node(3)));
+}
+
+BOOST_AUTO_TEST_CASE(CountsNobodyAsSilentRightAfterAnElection)
+{
+    MembershipView view = fiveVoters();
+    silence(view, 5);
+    view.termBegan = now - 500ms;
+    addLearner(view, 6, true);
+    BOOST_TEST(!nextMembershipStep(view).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(DropsALearnerThatHasGone)
+{
+    MembershipView view = fiveVoters();
+    addLearner(view, 6, true);
+    view.joining.clear();
+    silence(view, 6);
+    const auto step = nextMembershipStep(view);
+    BOOST_REQUIRE(step.has_value());
+    BOOST_TEST((step->action == MembershipAction::Remove));
+    BOOST_TEST((step->node == node(6)));
+}
+
+// Guards the number of losses that the cell survives while it repairs itself.
+BOOST_AUTO_TEST_CASE(NeverNeedsMoreVotersThanAreLeft)
+{
+    BOOST_TEST(rc::check([]() {
+        MembershipView view = fiveVoters();
+        const int lost = *rc::gen::inRange(0, 3);
+        for (int i = 0; i < lost; ++i) {
+            silence(view, 5 - i);
+        }
+        std::set<InstanceId> alive;
+        for (int number = 1; number <= 5 - lost; ++number) {
+            alive.insert(node(number));
+        }
+        const int spares = *rc::gen::inRange(0, 4);
+        for (int number = 6; number < 6 + spares; ++number) {
+            view.joining[node(number)] = DiskId(static_cast<std::uint64_t>(number));
+            alive.insert(node(number));
+        }
+        for (int steps = 0; steps < 30; ++steps) {
+            const auto step = nextMembershipStep(view);
+            if (!step) {
+                break;
+            }
+            Membership &membership = view.membership;
+            if (step->action == MembershipAction::AddLearner) {
+                addLearner(view, std::stoi(step->node.value.substr(5)), true);
+            } else if (step->action == MembershipAction::Promote) {
+                membership.learners.erase(step->node);
+                membership.voters.insert(step->node);
+                membership.disks[step->node] = view.joining[step->node];
+                view.joining.erase(step->node);
+            } else {
+                membership.voters.erase(step->node);
+                membership.learners.erase(step->node);
+            }
+            std::size_t votes = 0;
+            for (const InstanceId &voter : membership.voters) {
+                votes += alive.contains(voter) ? 1 : 0;
+            }
+            RC_ASSERT(votes * 2 > membership.voters.size());
+            RC_ASSERT(membership.voters.size() <= 5U);
+        }
+    }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/libs/dispatch/include/dispatch/upstream_board.h
+++ b/libs/dispatch/include/dispatch/upstream_board.h
@@ -99,7 +99,12 @@
                 const Result<HoldReply> &result, Effects &effects);
     void readClock(UpstreamWorker &worker, WorkerTime clock, SteadyTime at);
     void adoptLife(UpstreamWorker &worker, const WorkerRecord &record, Effects &effects);
-    void noteRunning(UpstreamWorker &worker, const RunningEntry &entry, Effects &effects);
+    /** Returns whether the run is one that this board keeps. */
+    bool noteRunning(UpstreamWorker &worker, const RunningEntry &entry);
+    /** Counts and stops the listed runs that this board does not keep. */
+    void noteStrays(UpstreamWorker &worker, const std::vector<RunningEntry> &entries,
+                    Effects &effects);
+    void clearStrays(UpstreamWorker &worker);
     void noteEnds(UpstreamWorker &worker, const std::vector<EndedEntry> &ends, Effects &effects);
     void settleUnlisted(UpstreamWorker &worker, const HoldReply &reply, SteadyTime sentAt,
                         Effects &effects);
--- a/libs/dispatch/include/dispatch/upstream_worker.h
+++ b/libs/dispatch/include/dispatch/upstream_worker.h
@@ -25,6 +25,14 @@
 /** Returns when the worker's clock has certainly passed the end of the lease. */
 SteadyTime certainlyAfter(const ClockReading &reading, WorkerTime leaseEnd);
 
+/** A run that the leader does not keep, since its workflow has ended; it still takes its room. */
+struct StrayRun
+{
+    RunNumber run;
+    CustomerId customer;
+    Resources size;
+};
+
 /** One life of a worker, as the leader sees it. */
 struct UpstreamWorker
 {
@@ -34,6 +42,8 @@
     /** What the runs below need, including those that are being stopped. */
     Resources reserved;
     std::map<TaskKey, RunNumber> runs;
+    /** What it runs of workflows that have ended, as far as it was listed; these are stopped. */
+    std::map<TaskKey, StrayRun> strays;
     /** When it was last heard, by heartbeat or answer. */
     SteadyTime heardAt;
     std::optional<ClockReading> clock;
@@ -44,6 +54,8 @@
     bool fenceRaised = false;
     bool holdInFlight = false;
     bool holdScheduled = false;
+    /** The last hold got no answer. */
+    bool unanswered = false;
     std::uint64_t seenEnds = 0;
     /** Ends that are being stored; the worker must not forget these yet. */
     std::set<std::uint64_t> unstoredEnds;
--- a/libs/dispatch/src/board_workers.cpp
+++ b/libs/dispatch/src/board_workers.cpp
@@ -63,6 +63,7 @@
     const std::map<TaskKey, RunNumber> runs = worker.runs;
     worker.record = record;
     worker.slot = ++this->lastSlot;
+    this->clearStrays(worker);
     worker.clock.reset();
     worker.leaseGranted = WorkerTime{};
     worker.seenEnds = 0;
@@ -70,6 +71,7 @@
     worker.unstoredEnds.clear();
     worker.fenceRaised = false;
     worker.failuresInRow = 0;
+    worker.unanswered = false;
     worker.avoidUntil = now;
     for (const auto &[key, number] : runs) {
         LiveTask *task = this->findTask(key);
@@ -140,8 +142,8 @@
 void UpstreamBoard::wantHold(UpstreamWorker &worker, Effects &effects)
 {
     const SteadyTime now = this->context.clock.steadyNow();
-    const bool needed = !worker.runs.empty() || acknowledgeable(worker) > worker.acknowledgedEnds
-        || !worker.fenceRaised;
+    const bool needed = !worker.runs.empty() || !worker.strays.empty()
+        || acknowledgeable(worker) > worker.acknowledgedEnds || !worker.fenceRaised;
     if (worker.holdInFlight || worker.holdScheduled || !needed
         || now - worker.heardAt > this->settings.silenceLimit) {
         return;
@@ -156,7 +158,11 @@
                         ? this->settings.holdWait
                         : std::chrono::milliseconds(0)};
     if (worker.clock) {
-        order.leaseEnd = earliestClock(*worker.clock, now) + this->settings.workerLease;
+        // A lease that a silent worker may have received puts off the time at which its tasks can
+        // run elsewhere, so it is extended only while the worker answers.
+        order.leaseEnd = worker.unanswered && worker.leaseGranted > WorkerTime{}
+            ? worker.leaseGranted
+            : earliestClock(*worker.clock, now) + this->settings.workerLease;
         worker.leaseGranted = std::max(worker.leaseGranted, order.leaseEnd);
         worker.leaseOverAt
             = std::max(worker.leaseOverAt, certainlyAfter(*worker.clock, worker.leaseGranted));
@@ -206,6 +212,7 @@
         return;
     }
     if (!ok(result)) {
+        worker.unanswered = true;
         this->avoid(worker, this->settings.holdWait, "hold-unanswered");
         again(holdRetry);
         return;
@@ -219,6 +226,7 @@
         return;
     }
     worker.heardAt = now;
+    worker.unanswered = false;
     if (reply.life && *reply.life != worker.record.life) {
         WorkerRecord record = worker.record;
         record.life = *reply.life;
@@ -226,9 +234,13 @@
     }
     worker.fenceRaised = true;
     this->readClock(worker, reply.clock, now);
+    std::vector<RunningEntry> strays;
     for (const RunningEntry &entry : reply.running) {
-        this->noteRunning(worker, entry, effects);
+        if (!this->noteRunning(worker, entry)) {
+            strays.push_back(entry);
+        }
     }
+    this->noteStrays(worker, strays, effects);
     this->noteEnds(worker, reply.ended, effects);
     this->settleUnlisted(worker, reply, sentAt, effects);
     this->wantPass(effects);
@@ -237,21 +249,12 @@
     again(reply.ended.empty() ? Duration::zero() : pause);
 }
 
-void UpstreamBoard::noteRunning(UpstreamWorker &worker, const RunningEntry &entry, Effects &effects)
+bool UpstreamBoard::noteRunning(UpstreamWorker &worker, const RunningEntry &entry)
 {
     LiveTask *task = this->findTask(entry.task);
-    const bool expected = task != nullptr && task->run && task->run->number == entry.run
-        && task->run->worker == worker.record.id;
-    if (!expected) {
-        // Nobody waits for this run: its workflow has ended, or another run took its place.
-        LiveRun stray;
-        stray.number = entry.run;
-        stray.worker = worker.record.id;
-        stray.phase = RunPhase::Running;
-        spdlog::warn("event=unexpected-run task={} run={} worker={}", toString(entry.task),
-                     entry.run.value, worker.record.id.value);
-        this->wantStop(entry.task, stray, effects);
-        return;
+    if (task == nullptr || !task->run || task->run->number != entry.run
+        || task->run->worker != worker.record.id) {
+        return false;
     }
     LiveRun &run = *task->run;
     run.percent = entry.percent;
@@ -263,6 +266,40 @@
         run.phase = RunPhase::Running;
         run.since = this->context.clock.steadyNow();
     }
+    return true;
+}
+
+void UpstreamBoard::clearStrays(UpstreamWorker &worker)
+{
+    for (const auto &[task, stray] : worker.strays) {
+        this->context.ledger->release(stray.customer, stray.size);
+    }
+    worker.strays.clear();
+}
+
+void UpstreamBoard::noteStrays(UpstreamWorker &worker, const std::vector<RunningEntry> &entries,
+                               Effects &effects)
+{
+    this->clearStrays(worker);
+    for (const RunningEntry &entry : entries) {
+        // Without a record of the workflow, the run may take all that the worker has.
+        StrayRun stray{.run = entry.run, .customer = {}, .size = worker.record.capacity};
+        this->context.state.visitOne(entry.task.workflow, [&](const WorkflowRecord &workflow) {
+            if (entry.task.step < workflow.spec->steps.size()) {
+                stray.customer = workflow.customer;
+                stray.size = footprint(workflow.spec->steps[entry.task.step]);
+            }
+        });
+        spdlog::info("event=stray-run task={} run={} worker={}", toString(entry.task),
+                     entry.run.value, worker.record.id.value);
+        this->context.ledger->reserve(stray.customer, stray.size);
+        worker.strays.emplace(entry.task, stray);
+        LiveRun run;
+        run.number = entry.run;
+        run.worker = worker.record.id;
+        run.phase = RunPhase::Running;
+        this->wantStop(entry.task, run, effects);
+    }
 }
 
 void UpstreamBoard::noteEnds(UpstreamWorker &worker, const std::vector<EndedEntry> &ends,
@@ -404,7 +441,8 @@
     const SteadyTime now = this->context.clock.steadyNow();
     std::vector<InstanceId> gone;
     for (auto &[id, worker] : this->workers) {
-        if (now > worker.leaseOverAt + lapseMargin && !worker.runs.empty()) {
+        if (now > worker.leaseOverAt + lapseMargin) {
+            this->clearStrays(worker);
             const std::map<TaskKey, RunNumber> runs = worker.runs;
             for (const auto &[key, number] : runs) {
                 LiveTask *task = this->findTask(key);
@@ -418,7 +456,8 @@
                 this->releaseRun(key, effects);
             }
         }
-        if (worker.runs.empty() && now - worker.heardAt > this->settings.forgetAfter) {
+        if (worker.runs.empty() && worker.strays.empty()
+            && now - worker.heardAt > this->settings.forgetAfter) {
             gone.push_back(id);
         }
         for (const auto &[key, number] : worker.runs) {
--- a/libs/dispatch/src/dispatcher.cpp
+++ b/libs/dispatch/src/dispatcher.cpp
@@ -48,14 +48,16 @@
         for (const auto &[id, worker] : this->state.workers()) {
             this->makeBoard(worker.upstream)->recoverWorker(worker);
         }
-        std::size_t workflows = 0;
-        this->state.visitLive([&](const WorkflowRecord &workflow) {
+        // Copied first, since a board takes its own lock, and boards look into the state.
+        std::vector<WorkflowRecord> workflows;
+        this->state.visitLive(
+            [&](const WorkflowRecord &workflow) { workflows.push_back(workflow); });
+        for (const WorkflowRecord &workflow : workflows) {
             this->makeBoard(workflow.upstream)->recoverWorkflow(workflow);
-            ++workflows;
-        });
+        }
         begun = this->boards;
-        spdlog::info("event=term-began term={} workflows={} upstreams={}", newTerm.value, workflows,
-                     begun.size());
+        spdlog::info("event=term-began term={} workflows={} upstreams={}", newTerm.value,
+                     workflows.size(), begun.size());
     }
     for (const auto &[upstream, board] : begun) {
         board->begin();
--- a/libs/dispatch/src/upstream_worker.cpp
+++ b/libs/dispatch/src/upstream_worker.cpp
@@ -21,7 +21,10 @@
 Resources freeOf(const UpstreamWorker &worker)
 {
     const Resources &capacity = worker.record.capacity;
-    const Resources &reserved = worker.reserved;
+    Resources reserved = worker.reserved;
+    for (const auto &[task, stray] : worker.strays) {
+        reserved = add(reserved, stray.size).value_or(capacity);
+    }
     return Resources{
         .cpu = CpuMillis(std::max<std::int64_t>(capacity.cpu.value - reserved.cpu.value, 0)),
         .memory = Bytes(std::max<std::int64_t>(capacity.memory.value - reserved.memory.value, 0)),
--- /dev/null
+++ b/libs/dispatch/test/dispatch_fixture.h
@@ -0,0 +1,166 @@
+#pragma once
+
+// A dispatcher over a log, workers and an adviser that tests control step by step. Everything runs
+// on the test's thread: timers fire in advance(), and commands commit when they are proposed unless
+// the log is held.
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <codec/codec.h>
+#include <dispatch/dispatch.h>
+
+namespace gooseberry {
+
+/** Runs scheduled tasks in the order of their times. */
+class FakeTimers
+{
+public:
+    explicit FakeTimers(ManualClock &initialClock);
+
+    Schedule schedule();
+    /** Moves the clock forward and runs what becomes due, in small steps. */
+    void advance(std::chrono::milliseconds time);
+    /** Runs what is due now. */
+    void settle();
+
+private:
+    ManualClock &clock;
+    std::multimap<SteadyTime, std::function<void()>> tasks;
+};
+
+/** Applies commands to a state; a test can hold them back or take the lease away. */
+class FakeCommandLog : public CommandSink
+{
+public:
+    FakeCommandLog(WorkflowState &initialState, FakeTimers &initialTimers);
+
+    void propose(WorkflowCommand command,
+                 std::function<void(Result<CommandOutcome>)> done) override;
+    bool holdsLease() const override;
+    void commitHeld();
+
+    bool leads = true;
+    bool held = false;
+    std::size_t proposals = 0;
+
+private:
+    WorkflowState &state;
+    FakeTimers &timers;
+    std::deque<std::pair<WorkflowCommand, std::function<void(Result<CommandOutcome>)>>> queue;
+};
+
+/** One worker as the platform describes it: runs, ends with numbers, a fence and a lease. */
+struct FakeWorker
+{
+    WorkerRecord record;
+    std::map<TaskKey, RunNumber> running;
+    std::vector<EndedEntry> ended;
+    std::map<TaskKey, RunNumber> refused;
+    Term fence;
+    WorkerTime leaseEnd;
+    std::uint64_t lastEnd = 0;
+    std::uint64_t acknowledged = 0;
+    /** Orders get no answer and are carried out when the test says so. */
+    bool mute = false;
+    bool muteStarts = false;
+    bool muteStops = false;
+    StartVerdict verdict = StartVerdict::Started;
+    std::size_t starts = 0;
+    std::size_t holds = 0;
+    std::vector<std::string> checkpoints;
+};
+
+/** The workers of a test; starts two runs of a task at once are recorded as violations. */
+class FakeWorkers : public WorkerOrders
+{
+public:
+    explicit FakeWorkers(FakeTimers &initialTimers, const Clock &initialClock);
+
+    void start(const WorkerRef &worker, const StartOrder &order,
+               std::function<void(Result<StartReply>)> done) override;
+    void stop(const WorkerRef &worker, const StopOrder &order,
+              std::function<void(Status)> done) override;
+    void hold(const WorkerRef &worker, const HoldOrder &order,
+              std::function<void(Result<HoldReply>)> done) override;
+
+    FakeWorker &add(const WorkerRecord &record);
+    /** Ends a run, as the worker would list it. */
+    void end(const InstanceId &id, const TaskKey &task, EndKind kind,
+             const std::string &checkpoint = {});
+    /** Carries out the starts that got no answer. */
+    void deliverLate();
+    std::size_t runningTasks() const;
+
+    std::map<InstanceId, FakeWorker> workers;
+    std::vector<std::string> violations;
+
+private:
+    WorkerTime clockNow() const;
+    StartVerdict carryOut(FakeWorker &worker, const StartOrder &order);
+
+    FakeTimers &timers;
+    const Clock &clock;
+    std::vector<std::pair<InstanceId, StartOrder>> late;
+};
+
+/** Allows the workers that a test names, or all. */
+class FakeAdviser : public AdviserAccess
+{
+public:
+    explicit FakeAdviser(FakeTimers &initialTimers);
+
+    void advise(const AdviceRequest &request, std::chrono::microseconds cost,
+                std::function<void(Result<AdviceReply>)> done) override;
+
+    std::set<InstanceId> refused;
+    std::vector<AdviceRequest> requests;
+    bool fails = false;
+
+private:
+    FakeTimers &timers;
+};
+
+/** A cell with one queue, one customer and workers of 16 cores each. */
+struct DispatchFixture
+{
+    explicit DispatchFixture(std::size_t workerCount = 2);
+
+    void put(std::function<void(RoutingConfig &)> change);
+    WorkflowId submit(const std::string &id, std::vector<StepSpec> steps,
+                      const std::string &customer = "customer");
+    void cancel(const WorkflowId &id);
+    void announce(const InstanceId &id, std::function<void(WorkerRecord &)> change);
+    void evacuate(const std::string &domain, bool evacuated);
+    /** Ends the leader's term and begins another one on the same state. */
+    void changeLeader();
+    /** Reports every worker as heard, as heartbeats do, and moves the time forward. */
+    void run(std::chrono::milliseconds time);
+    WorkflowPhase phase(const WorkflowId &id) const;
+    /** Ends everything that runs as done. */
+    void finishAll();
+
+    static InstanceId workerId(std::size_t number);
+    static StepSpec step(std::uint32_t count, std::int64_t cpu = 1000);
+    static TaskKey task(const WorkflowId &id, std::uint32_t index, std::uint32_t step = 0);
+
+    ManualClock clock;
+    FakeTimers timers{clock};
+    WorkflowState state{std::chrono::minutes(3)};
+    FakeCommandLog log{state, timers};
+    FakeWorkers workers{timers, clock};
+    FakeAdviser adviser{timers};
+    Dispatcher dispatcher;
+    RoutingConfig config;
+    Term term{1};
+    std::set<InstanceId> silent;
+
+private:
+    void apply(WorkflowCommand command);
+};
+
+} // namespace gooseberry
--- /dev/null
+++ b/libs/dispatch/test/dispatcher_test.cpp
@@ -0,0 +1,434 @@
+// What the leader does with workflows and workers, against fakes that lose, delay and refuse.
+
+#include <boost/test/unit_test.hpp>
+
+#include "dispatch_fixture.h"
+
+using namespace gooseberry;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::size_t startsOf(const DispatchFixture &cell)
+{
+    std::size_t starts = 0;
+    for (const auto &[id, worker] : cell.workers.workers) {
+        starts += worker.starts;
+    }
+    return starts;
+}
+
+InstanceId workerOf(const DispatchFixture &cell, const TaskKey &task)
+{
+    for (const auto &[id, worker] : cell.workers.workers) {
+        if (worker.running.contains(task)) {
+            return id;
+        }
+    }
+    return {};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(DispatcherTest)
+
+BOOST_AUTO_TEST_CASE(RunsTheStepsOfAWorkflowInOrder)
+{
+    DispatchFixture cell;
+    StepSpec second = DispatchFixture::step(2);
+    second.dependsOn = {0};
+    const WorkflowId id = cell.submit("a", {DispatchFixture::step(3), second});
+    cell.run(300ms);
+    BOOST_TEST(cell.workers.runningTasks() == 3U);
+    cell.finishAll();
+    cell.run(500ms);
+    BOOST_TEST(cell.workers.runningTasks() == 2U);
+    BOOST_TEST((cell.phase(id) == WorkflowPhase::Running));
+    cell.finishAll();
+    cell.run(500ms);
+    BOOST_TEST((cell.phase(id) == WorkflowPhase::Completed));
+    BOOST_TEST(startsOf(cell) == 5U);
+    BOOST_TEST(cell.workers.violations.empty());
+}
+
+BOOST_AUTO_TEST_CASE(TellsNoWorkerBeforeTheAssignmentIsStored)
+{
+    DispatchFixture cell;
+    cell.log.held = true;
+    cell.submit("a", {DispatchFixture::step(1)});
+    cell.run(1000ms);
+    BOOST_TEST(startsOf(cell) == 0U);
+    cell.log.commitHeld();
+    cell.run(100ms);
+    BOOST_TEST(startsOf(cell) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(NeverStartsMoreThanAWorkerHas)
+{
+    DispatchFixture cell(1);
+    cell.submit("a", {DispatchFixture::step(10, 5000)});
+    cell.run(1000ms);
+    BOOST_TEST(cell.workers.runningTasks() == 3U);
+    cell.finishAll();
+    cell.run(500ms);
+    BOOST_TEST(cell.workers.runningTasks() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(KeepsACustomerBelowItsLimit)
+{
+    DispatchFixture cell;
+    cell.put([](RoutingConfig &config) { config.customers.front().limit.cpu = CpuMillis(4000); });
+    cell.submit("a", {DispatchFixture::step(10, 1000)});
+    cell.run(1000ms);
+    BOOST_TEST(cell.workers.runningTasks() == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(StartsAGangTogetherOrNotAtAll)
+{
+    DispatchFixture cell(2);
+    StepSpec gang = DispatchFixture::step(5, 8000);
+    gang.gang = true;
+    cell.submit("large", {gang});
+    cell.run(1000ms);
+    BOOST_TEST(startsOf(cell) == 0U);
+    gang.count = 4;
+    const WorkflowId id = cell.submit("fits", {gang});
+    cell.run(500ms);
+    BOOST_TEST(cell.workers.runningTasks() == 4U);
+    // The end of one member stands for all.
+    const InstanceId worker = workerOf(cell, DispatchFixture::task(id, 0));
+    cell.workers.end(worker, DispatchFixture::task(id, 0), EndKind::Done);
+    cell.run(500ms);
+    BOOST_TEST((cell.phase(id) == WorkflowPhase::Completed));
+}
+
+BOOST_AUTO_TEST_CASE(GivesTheMembersOfAGangOneNewRunNumberAfterAFailure)
+{
+    DispatchFixture cell(2);
+    StepSpec gang = DispatchFixture::step(2, 8000);
+    gang.gang = true;
+    const WorkflowId id = cell.submit("gang", {gang});
+    cell.run(500ms);
+    const TaskKey first = DispatchFixture::task(id, 0);
+    const TaskKey second = DispatchFixture::task(id, 1);
+    cell.workers.end(workerOf(cell, first), first, EndKind::Failed);
+    cell.run(2000ms);
+    BOOST_TEST(cell.workers.runningTasks() == 2U);
+    const RunNumber firstRun = cell.workers.workers[workerOf(cell, first)].running.at(first);
+    const RunNumber secondRun = cell.workers.workers[workerOf(cell, second)].running.at(second);
+    BOOST_TEST(firstRun.value == 2U);
+    BOOST_TEST(secondRun.value == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(FailsAWorkflowAfterTheLastAttempt)
+{
+    DispatchFixture cell;
+    const WorkflowId id = cell.submit("bad", {DispatchFixture::step(1)});
+    for (int attempt = 0; attempt < 3; ++attempt) {
+        cell.run(8000ms);
+        const TaskKey task = DispatchFixture::task(id, 0);
+        const InstanceId worker = workerOf(cell, task);
+        BOOST_REQUIRE(!worker.value.empty());
+        cell.workers.end(worker, task, EndKind::Failed);
+    }
+    cell.run(1000ms);
+    BOOST_TEST((cell.phase(id) == WorkflowPhase::Failed));
+    BOOST_TEST(startsOf(cell) == 3U);
+}
+
+// Guards against a start that got no answer and is carried out after the task ran elsewhere.
+BOOST_AUTO_TEST_CASE(StopsAnUnansweredStartBeforeTheTaskRunsAgain)
+{
+    DispatchFixture cell(2);
+    for (auto &[id, worker] : cell.workers.workers) {
+        worker.muteStarts = true;
+    }
+    cell.submit("a", {DispatchFixture::step(1)});
+    cell.run(300ms);
+    for (auto &[id, worker] : cell.workers.workers) {
+        worker.muteStarts = false;
+    }
+    cell.run(3000ms);
+    BOOST_TEST(cell.workers.runningTasks() == 1U);
+    cell.workers.deliverLate();
+    BOOST_TEST(cell.workers.runningTasks() == 1U);
+    BOOST_TEST(cell.workers.violations.empty());
+}
+
+BOOST_AUTO_TEST_CASE(WaitsForTheLeaseOfASilentWorkerBeforeItsTasksRunAgain)
+{
+    DispatchFixture cell(2);
+    const WorkflowId id = cell.submit("a", {DispatchFixture::step(1)});
+    cell.run(300ms);
+    const TaskKey task = DispatchFixture::task(id, 0);
+    const InstanceId lost = workerOf(cell, task);
+    cell.workers.workers[lost].mute = true;
+    cell.run(3000ms);
+    BOOST_TEST(startsOf(cell) == 1U);
+    // The worker kills its runs when its own lease is over, and holds that got no answer do not
+    // put off what the leader waits for.
+    cell.run(1500ms);
+    cell.workers.workers[lost].running.clear();
+    cell.run(1500ms);
+    BOOST_TEST(startsOf(cell) == 2U);
+    BOOST_TEST((workerOf(cell, task) != lost));
+    BOOST_TEST(cell.workers.violations.empty());
+}
+
+BOOST_AUTO_TEST_CASE(RunsTasksAgainAtOnceWhenANewLifeProvesTheOldOneOver)
+{
+    DispatchFixture cell(2);
+    const WorkflowId id = cell.submit("a", {DispatchFixture::step(1)});
+    cell.run(300ms);
+    const TaskKey task = DispatchFixture::task(id, 0);
+    const InstanceId restarted = workerOf(cell, task);
+    FakeWorker &worker = cell.workers.workers[restarted];
+    worker.running.clear();
+    worker.lastEnd = 0;
+    worker.fence = Term(0);
+    worker.refused.clear();
+    cell.announce(restarted, [](WorkerRecord &record) { record.life += 5s; });
+    cell.run(500ms);
+    BOOST_TEST(cell.workers.runningTasks() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(StartsNothingOnADrainingWorkerOrInAnEvacuatedDomain)
+{
+    DispatchFixture cell(2);
+    cell.announce(DispatchFixture::workerId(0),
+                  [](WorkerRecord &record) { record.draining = true; });
+    cell.evacuate("domain-b", true);
+    cell.submit("a", {DispatchFixture::step(1)});
+    cell.run(1000ms);
+    BOOST_TEST(startsOf(cell) == 0U);
+    cell.evacuate("domain-b", false);
+    cell.run(500ms);
+    BOOST_TEST(cell.workers.workers[DispatchFixture::workerId(1)].starts == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(StopsTheRunsOfACancelledWorkflow)
+{
+    DispatchFixture cell;
+    const WorkflowId id = cell.submit("a", {DispatchFixture::step(4)});
+    cell.run(300ms);
+    BOOST_TEST(cell.workers.runningTasks() == 4U);
+    cell.cancel(id);
+    cell.run(1000ms);
+    BOOST_TEST(cell.workers.runningTasks() == 0U);
+    BOOST_TEST((cell.phase(id) == WorkflowPhase::Cancelled));
+    BOOST_TEST(cell.dispatcher.readings().at("upstream").runs == 0U);
+}
+
+// Guards against a use after free: the end of a gang dropped the cancelled workflow it iterated.
+BOOST_AUTO_TEST_CASE(SurvivesTheEndOfAGangWhoseWorkflowIsBeingCancelled)
+{
+    DispatchFixture cell;
+    StepSpec gang = DispatchFixture::step(3);
+    gang.gang = true;
+    const WorkflowId id = cell.submit("gang", {gang});
+    cell.run(300ms);
+    cell.log.held = true;
+    cell.finishAll();
+    cell.run(200ms);
+    cell.dispatcher.workflowCancelled(id);
+    cell.log.held = false;
+    cell.log.commitHeld();
+    cell.run(1000ms);
+    BOOST_TEST(cell.dispatcher.readings().at("upstream").workflows == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(AcknowledgesAnEndOnlyOnceItIsStored)
+{
+    DispatchFixture cell(1);
+    const WorkflowId id = cell.submit("a", {DispatchFixture::step(1)});
+    cell.run(300ms);
+    cell.log.held = true;
+    cell.workers.end(DispatchFixture::workerId(0), DispatchFixture::task(id, 0), EndKind::Done);
+    cell.run(3000ms);
+    const FakeWorker &worker = cell.workers.workers[DispatchFixture::workerId(0)];
+    BOOST_TEST(worker.acknowledged == 0U);
+    cell.log.held = false;
+    cell.log.commitHeld();
+    cell.run(500ms);
+    BOOST_TEST(worker.acknowledged == 1U);
+    BOOST_TEST((cell.phase(id) == WorkflowPhase::Completed));
+}
+
+BOOST_AUTO_TEST_CASE(ResumesFromTheCheckpointOfAnInterruptedRun)
+{
+    DispatchFixture cell(1);
+    StepSpec step = DispatchFixture::step(1);
+    step.checkpointing = true;
+    const WorkflowId id = cell.submit("a", {step});
+    cell.run(300ms);
+    cell.workers.end(DispatchFixture::workerId(0), DispatchFixture::task(id, 0), EndKind::Lapsed,
+                     "saved");
+    cell.run(1000ms);
+    const FakeWorker &worker = cell.workers.workers[DispatchFixture::workerId(0)];
+    BOOST_REQUIRE(worker.checkpoints.size() == 2U);
+    BOOST_TEST(worker.checkpoints.back() == "saved");
+}
+
+BOOST_AUTO_TEST_CASE(ANewLeaderKeepsWhatRuns)
+{
+    DispatchFixture cell;
+    const WorkflowId id = cell.submit("a", {DispatchFixture::step(4)});
+    cell.run(300ms);
+    cell.changeLeader();
+    cell.run(2000ms);
+    BOOST_TEST(startsOf(cell) == 4U);
+    cell.finishAll();
+    cell.run(1000ms);
+    BOOST_TEST((cell.phase(id) == WorkflowPhase::Completed));
+    BOOST_TEST(cell.workers.violations.empty());
+}
+
+// Guards against room given away twice: a leader that took over did not count the runs of workflows
+// that had ended and were still being stopped.
+BOOST_AUTO_TEST_CASE(ANewLeaderCountsRunsThatAreStillBeingStopped)
+{
+    DispatchFixture cell(1);
+    FakeWorker &worker = cell.workers.workers[DispatchFixture::workerId(0)];
+    const WorkflowId ended = cell.submit("ended", {DispatchFixture::step(2, 8000)});
+    cell.run(300ms);
+    worker.muteStops = true;
+    cell.cancel(ended);
+    cell.changeLeader();
+    cell.submit("next", {DispatchFixture::step(1, 8000)});
+    cell.run(2000ms);
+    BOOST_TEST(worker.starts == 2U);
+    worker.muteStops = false;
+    cell.run(2000ms);
+    BOOST_TEST(worker.starts == 3U);
+    BOOST_TEST(worker.running.size() == 1U);
+}
+
+// Guards against holds that were given up because the term had not begun yet.
+BOOST_AUTO_TEST_CASE(ANewLeaderRaisesItsFenceOnceItsLeaseBegins)
+{
+    DispatchFixture cell;
+    cell.submit("a", {DispatchFixture::step(1)});
+    cell.run(300ms);
+    cell.log.leads = false;
+    cell.changeLeader();
+    cell.timers.settle();
+    cell.log.leads = true;
+    cell.run(1000ms);
+    for (const auto &[id, worker] : cell.workers.workers) {
+        BOOST_TEST(worker.fence.value == 2U);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(ANewLeaderRunsAgainWhatTheOldOneStoredAndNeverSent)
+{
+    DispatchFixture cell;
+    cell.log.held = true;
+    const WorkflowId id = cell.submit("a", {DispatchFixture::step(1)});
+    cell.run(100ms);
+    // The assignment commits, but its proposer no longer leads.
+    cell.dispatcher.endTerm();
+    cell.log.commitHeld();
+    cell.log.held = false;
+    cell.changeLeader();
+    cell.run(1000ms);
+    BOOST_TEST(cell.workers.runningTasks() == 1U);
+    const TaskKey task = DispatchFixture::task(id, 0);
+    BOOST_TEST(cell.workers.workers[workerOf(cell, task)].running.at(task).value == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(SendsNothingWithoutALease)
+{
+    DispatchFixture cell;
+    cell.submit("a", {DispatchFixture::step(1)});
+    cell.log.held = true;
+    cell.run(100ms);
+    cell.log.held = false;
+    cell.log.commitHeld();
+    cell.log.leads = false;
+    cell.run(2000ms);
+    BOOST_TEST(startsOf(cell) <= 1U);
+    const std::size_t starts = startsOf(cell);
+    cell.submit("b", {DispatchFixture::step(1)});
+    cell.run(2000ms);
+    BOOST_TEST(startsOf(cell) == starts);
+}
+
+BOOST_AUTO_TEST_CASE(StartsOnlyWhereTheAdviserAllows)
+{
+    DispatchFixture cell(4);
+    cell.put([](RoutingConfig &config) {
+        config.queues.front().advice
+            = AdviceTerms{.decision = 10ms, .perWorker = 1ms, .ticketValidity = 1500ms};
+    });
+    cell.adviser.refused = {DispatchFixture::workerId(0), DispatchFixture::workerId(1),
+                            DispatchFixture::workerId(2)};
+    cell.submit("a", {DispatchFixture::step(4)});
+    cell.run(1000ms);
+    BOOST_TEST(cell.workers.runningTasks() == 4U);
+    BOOST_TEST(cell.workers.workers[DispatchFixture::workerId(3)].running.size() == 4U);
+    // Eligibility does not change, so nobody is asked about twice.
+    BOOST_TEST(cell.adviser.requests.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(RenewsTicketsOnlyForWorkersThatAreAllowedAndHaveRoom)
+{
+    DispatchFixture cell(2);
+    cell.put([](RoutingConfig &config) {
+        config.queues.front().advice
+            = AdviceTerms{.decision = 10ms, .perWorker = 1ms, .ticketValidity = 1500ms};
+    });
+    cell.adviser.refused = {DispatchFixture::workerId(0)};
+    cell.submit("filler", {DispatchFixture::step(1, 16'000)});
+    cell.run(500ms);
+    cell.submit("waits", {DispatchFixture::step(1, 16'000)});
+    cell.run(4000ms);
+    cell.adviser.requests.clear();
+    cell.finishAll();
+    cell.run(1000ms);
+    BOOST_TEST(cell.workers.runningTasks() == 1U);
+    BOOST_REQUIRE(cell.adviser.requests.size() == 1U);
+    BOOST_TEST(cell.adviser.requests.front().workers.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(AvoidsAWorkerForAWhileThatFailsTasksOfDifferentWorkflows)
+{
+    DispatchFixture cell(1);
+    const InstanceId bad = DispatchFixture::workerId(0);
+    for (const std::string name : {"a", "b"}) {
+        const WorkflowId id = cell.submit(name, {DispatchFixture::step(1)});
+        cell.run(300ms);
+        cell.workers.end(bad, DispatchFixture::task(id, 0), EndKind::Failed);
+        cell.cancel(id);
+        cell.run(200ms);
+    }
+    BOOST_TEST(cell.dispatcher.readings().at("upstream").workersUsable == 0U);
+    cell.run(7000ms);
+    BOOST_TEST(cell.dispatcher.readings().at("upstream").workersUsable == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(PrefersAWorkerWithoutFailures)
+{
+    DispatchFixture cell(2);
+    const WorkflowId id = cell.submit("a", {DispatchFixture::step(1)});
+    cell.run(300ms);
+    const TaskKey task = DispatchFixture::task(id, 0);
+    const InstanceId bad = workerOf(cell, task);
+    cell.workers.end(bad, task, EndKind::Failed);
+    cell.run(500ms);
+    BOOST_TEST((workerOf(cell, task) != bad));
+}
+
+BOOST_AUTO_TEST_CASE(DoesNotSuspectWorkersOfAWorkflowThatFailsEverywhere)
+{
+    DispatchFixture cell(1);
+    const WorkflowId id = cell.submit("a", {DispatchFixture::step(2)});
+    cell.run(300ms);
+    for (std::uint32_t index = 0; index < 2; ++index) {
+        cell.workers.end(DispatchFixture::workerId(0), DispatchFixture::task(id, index),
+                         EndKind::Failed);
+    }
+    cell.run(200ms);
+    BOOST_TEST(cell.dispatcher.readings().at("upstream").workersUsable == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
