Ask the adviser in order of priority

Cause: after a change of leader hundreds of steps ask at once. Each question went to some node at once, and urgent ones waited behind long ones there.

Change: the leader keeps questions back while all nodes are busy and sends the most urgent first; a question names as many workers as probably give four times the seats that are wanted. The load of a board is logged each second, and a hold without an answer says why.

--- a/libs/cluster/include/cluster/advice_router.h
+++ b/libs/cluster/include/cluster/advice_router.h
@@ -17,12 +17,16 @@
     std::size_t questions = 0;
 };
 
-/** Returns the node whose questions are answered first; there is at least one. */
-const AskingNode &leastBusy(const std::vector<AskingNode> &nodes);
+/**
+ * Returns the node that should ask a question of this cost now, or null when all are busy. A node
+ * asks one long question at a time, or several short ones, so that what waits can still be put in
+ * another order.
+ */
+const AskingNode *nodeToAsk(const std::vector<AskingNode> &nodes, std::chrono::microseconds cost);
 
 /**
  * Spreads the questions to the adviser over all nodes, since it answers one question of each node
- * at a time.
+ * at a time. Questions that wait are asked in the order of their priority.
  */
 class AdviceRouter : public AdviserAccess
 {
@@ -34,19 +38,32 @@
                 std::function<void(Result<AdviceReply>)> done) override;
 
 private:
+    using Done = std::function<void(Result<AdviceReply>)>;
     struct Load
     {
         std::chrono::microseconds backlog{0};
         std::size_t questions = 0;
     };
+    struct Waiting
+    {
+        AdviceRequest request;
+        std::chrono::microseconds cost{0};
+        Done done;
+    };
 
-    InstanceId choose(std::chrono::microseconds cost, std::chrono::microseconds &wait);
+    /** Sends what can be asked now. */
+    void pump();
+    std::vector<AskingNode> nodes() const;
+    void ask(const InstanceId &node, const Waiting &question, std::chrono::microseconds wait);
     void finished(const InstanceId &node, std::chrono::microseconds cost);
 
     CellLinks &links;
     AdviserAccess &direct;
-    std::mutex mutex; ///< Guards loads.
+    std::mutex mutex; ///< Guards the members below.
     std::map<InstanceId, Load> loads;
+    /** By priority and arrival. */
+    std::map<std::pair<std::uint32_t, std::uint64_t>, Waiting> waiting;
+    std::uint64_t lastArrival = 0;
 };
 
 } // namespace gooseberry
--- a/libs/cluster/src/cluster_records.h
+++ b/libs/cluster/src/cluster_records.h
@@ -85,7 +85,7 @@
 template<typename Codec>
 void fields(Codec &codec, AdviceRequest &value)
 {
-    codec(value.workflow, value.occurrence, value.step, value.workers);
+    codec(value.workflow, value.occurrence, value.step, value.workers, value.priority);
 }
 
 /** A question to the adviser that another node asks for the leader. */
--- a/libs/cluster/test/cluster_test.cpp
+++ b/libs/cluster/test/cluster_test.cpp
@@ -315,9 +315,24 @@
 {
     const std::vector<AskingNode> nodes{
         {.node = InstanceId("a"), .backlog = 300ms, .questions = 1},
-        {.node = InstanceId("b"), .backlog = 20ms, .questions = 4},
+        {.node = InstanceId("b"), .backlog = 0ms, .questions = 0},
         {.node = InstanceId("c"), .backlog = 450ms, .questions = 1}};
-    BOOST_TEST((leastBusy(nodes).node == InstanceId("b")));
+    const AskingNode *chosen = nodeToAsk(nodes, 500ms);
+    BOOST_REQUIRE(chosen != nullptr);
+    BOOST_TEST((chosen->node == InstanceId("b")));
+}
+
+// Guards urgent questions against a storm of long ones after a change of leader: what waits must
+// stay with the leader, where it can be put in another order.
+BOOST_AUTO_TEST_CASE(KeepsQuestionsBackWhileAllNodesAreBusy)
+{
+    const std::vector<AskingNode> nodes{{.node = InstanceId("a"), .backlog = 300ms, .questions = 1},
+                                        {.node = InstanceId("b"), .backlog = 20ms, .questions = 1}};
+    BOOST_TEST(nodeToAsk(nodes, 500ms) == nullptr);
+    const AskingNode *chosen = nodeToAsk(nodes, 15ms);
+    BOOST_REQUIRE(chosen != nullptr);
+    BOOST_TEST((chosen->node == InstanceId("b")));
+    BOOST_TEST(nodeToAsk({}, 15ms) == nullptr);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/libs/dispatch/include/dispatch/advice_choice.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+#include <base/base.h>
+
+namespace gooseberry {
+
+/** A worker that the adviser can be asked about, and how many tasks of the step fit on it now. */
+struct SeatsOfWorker
+{
+    InstanceId id;
+    std::uint64_t seats = 0;
+};
+
+/**
+ * Returns the workers to name in one question, the roomiest first: as many as probably give the
+ * wanted seats and a few more, since the adviser's time grows with each worker named. Share is how
+ * many of the workers asked about are probably allowed.
+ */
+std::vector<InstanceId> workersForSeats(std::vector<SeatsOfWorker> workers, std::uint64_t wanted,
+                                        double share);
+
+} // namespace gooseberry
--- a/libs/dispatch/include/dispatch/dispatch.h
+++ b/libs/dispatch/include/dispatch/dispatch.h
@@ -4,6 +4,7 @@
 // it. Decisions are free functions over plain structs; boards hold the state of one upstream each,
 // under a lock of their own.
 
+#include <dispatch/advice_choice.h>
 #include <dispatch/customer_ledger.h>
 #include <dispatch/dispatcher.h>
 #include <dispatch/live_work.h>
--- a/libs/dispatch/include/dispatch/ports.h
+++ b/libs/dispatch/include/dispatch/ports.h
@@ -145,6 +145,8 @@
     std::uint32_t occurrence = 0;
     std::uint32_t step = 0;
     std::vector<InstanceId> workers;
+    /** The queue's priority; 0 is asked first. */
+    std::uint32_t priority = 0;
 };
 struct AdviceTicket
 {
@@ -163,7 +165,7 @@
 public:
     virtual ~AdviserAccess() = default;
 
-    /** The cost is how long the adviser is expected to take for this request alone. */
+    /** The cost is how long the adviser is expected to take. */
     virtual void advise(const AdviceRequest &request, std::chrono::microseconds cost,
                         std::function<void(Result<AdviceReply>)> done)
         = 0;
--- a/libs/dispatch/include/dispatch/upstream_board.h
+++ b/libs/dispatch/include/dispatch/upstream_board.h
@@ -39,6 +39,7 @@
     std::size_t tasksWaiting = 0;
     Resources capacity;
     Resources reserved;
+    std::size_t openQuestions = 0;
 };
 
 /**
@@ -82,6 +83,8 @@
     void enter(const Entry &entry);
     void runLater(Duration delay, const Entry &entry);
     void tick();
+    BoardReadings readingsLocked() const;
+    void logSummary();
 
     // upstream_board.cpp: workflows and tasks.
     LiveWorkflow &createWorkflow(const WorkflowRecord &workflow);
@@ -147,6 +150,7 @@
     std::vector<InstanceId> workersToAsk(const Candidate &candidate, const Round &round) const;
     void onAdvice(const AdviceRequest &request, const Result<AdviceReply> &result,
                   Effects &effects);
+    void noteAllowedShare(const WorkflowId &id, std::size_t asked, std::size_t allowed);
     void reserve(UpstreamWorker &worker, const TaskKey &key, const StepSpec &spec,
                  RunNumber run) const;
 
@@ -160,6 +164,11 @@
     bool passScheduled = false;
     SteadyTime lastPass;
     std::uint32_t lastSlot = 0;
+    SteadyTime nextSummary;
+    /** Questions to the adviser that are under way. */
+    std::size_t openQuestions = 0;
+    /** By queue: which share of the workers asked about the adviser allows. */
+    std::map<std::string, double> allowedShare;
     std::map<InstanceId, UpstreamWorker> workers;
     std::map<WorkflowId, LiveWorkflow> workflows;
     /** Ended workflows with a run released lately; dropped when no entry point uses them. */
--- a/libs/dispatch/src/board_placement.cpp
+++ b/libs/dispatch/src/board_placement.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <unordered_map>
 
+#include <dispatch/advice_choice.h>
 #include <dispatch/placement_choice.h>
 #include <dispatch/urgency.h>
 #include <spdlog/spdlog.h>
@@ -13,11 +14,11 @@
 
 namespace {
 
-/** The most workers that one question may name. */
-constexpr std::size_t maxAskedWorkers = 100;
-/** Workers that are asked about for each task of a step that does not start together. */
-constexpr std::size_t askedPerTask = 4;
-constexpr std::size_t minAskedWorkers = 10;
+/** The share of workers that an adviser is taken to allow before it has answered. */
+constexpr double firstAllowedShare = 0.4;
+/** The weight of one answer in the running mean of that share. */
+constexpr double shareWeight = 0.1;
+constexpr double lowestAllowedShare = 0.05;
 /** How often a step that can't be placed looks for further workers to ask about. */
 constexpr std::chrono::milliseconds askPause{50};
 /** How long a question that failed waits for the next try. */
@@ -296,7 +297,7 @@
     };
     std::uint64_t seatsHeld = 0;
     std::uint64_t seatsAllowed = 0;
-    std::vector<InstanceId> expired;
+    std::vector<SeatsOfWorker> expired;
     for (const AllowedWorker &allowed : step.allowed) {
         const auto worker = round.bySlot.find(allowed.slot);
         const std::uint64_t seats = worker == round.bySlot.end() ? 0 : fit(*worker->second);
@@ -304,39 +305,26 @@
         if (allowed.validUntil >= round.now + this->settings.ticketMargin) {
             seatsHeld += seats;
         } else if (seats > 0) {
-            expired.push_back(worker->second->record.id);
+            expired.push_back(SeatsOfWorker{.id = worker->second->record.id, .seats = seats});
         }
     }
     const std::uint64_t wanted = spec.gang ? spec.count : step.waiting;
-    if (!expired.empty() && seatsHeld < wanted && (!spec.gang || seatsAllowed >= wanted)) {
+    if (seatsHeld < wanted && !expired.empty() && (!spec.gang || seatsAllowed >= wanted)) {
         // Enough room on workers that are known to be allowed: only their tickets are renewed.
-        expired.resize(std::min(expired.size(), maxAskedWorkers));
-        return expired;
+        return workersForSeats(std::move(expired), wanted - seatsHeld, 1.0);
     }
     if (seatsAllowed >= wanted) {
         return {};
     }
-    std::vector<std::pair<std::int64_t, const UpstreamWorker *>> unknown;
+    std::vector<SeatsOfWorker> unknown;
     for (const UpstreamWorker *worker : round.usable) {
         if (!step.asked.contains(worker->slot) && this->isCapable(*worker, spec)) {
-            unknown.emplace_back(-freeOf(*worker).cpu.value, worker);
+            unknown.push_back(SeatsOfWorker{.id = worker->record.id, .seats = fit(*worker)});
         }
     }
-    const std::size_t most
-        = std::min(spec.gang ? maxAskedWorkers
-                             : std::min(maxAskedWorkers,
-                                        std::max(minAskedWorkers, askedPerTask * step.waiting)),
-                   unknown.size());
-    std::partial_sort(unknown.begin(), unknown.begin() + static_cast<std::ptrdiff_t>(most),
-                      unknown.end(), [](const auto &left, const auto &right) {
-                          return std::pair(left.first, left.second->slot)
-                              < std::pair(right.first, right.second->slot);
-                      });
-    std::vector<InstanceId> chosen;
-    for (std::size_t i = 0; i < most; ++i) {
-        chosen.push_back(unknown[i].second->record.id);
-    }
-    return chosen;
+    const auto share = this->allowedShare.find(candidate.live->queue);
+    return workersForSeats(std::move(unknown), wanted - seatsAllowed,
+                           share == this->allowedShare.end() ? firstAllowedShare : share->second);
 }
 
 void UpstreamBoard::ask(Candidate &candidate, const Round &round, Effects &effects)
@@ -348,12 +336,14 @@
     AdviceRequest request{.workflow = candidate.workflow,
                           .occurrence = candidate.occurrence,
                           .step = candidate.number,
-                          .workers = this->workersToAsk(candidate, round)};
+                          .workers = this->workersToAsk(candidate, round),
+                          .priority = candidate.urgency.priority};
     if (request.workers.empty()) {
         step.askAgainAt = round.now + askPause;
         return;
     }
     step.asking = true;
+    ++this->openQuestions;
     const std::chrono::microseconds cost = candidate.advice->decision
         + candidate.advice->perWorker * static_cast<std::int64_t>(request.workers.size());
     effects.push_back([self = this->shared_from_this(), request, cost]() {
@@ -367,6 +357,7 @@
 void UpstreamBoard::onAdvice(const AdviceRequest &request, const Result<AdviceReply> &result,
                              Effects &effects)
 {
+    this->openQuestions -= std::min<std::size_t>(this->openQuestions, 1);
     LiveStep *step = nullptr;
     const TaskKey first{.workflow = request.workflow,
                         .occurrence = request.occurrence,
@@ -394,6 +385,7 @@
         std::erase_if(step->allowed,
                       [slot](const AllowedWorker &known) { return known.slot == slot; });
     }
+    this->noteAllowedShare(first.workflow, request.workers.size(), reply.tickets.size());
     for (const AdviceTicket &ticket : reply.tickets) {
         const auto worker = this->workers.find(ticket.worker);
         if (worker != this->workers.end()) {
@@ -405,4 +397,16 @@
     this->wantPass(effects);
 }
 
+void UpstreamBoard::noteAllowedShare(const WorkflowId &id, std::size_t asked, std::size_t allowed)
+{
+    const auto workflow = this->workflows.find(id);
+    if (workflow == this->workflows.end() || asked == 0) {
+        return;
+    }
+    const double seen = static_cast<double>(allowed) / static_cast<double>(asked);
+    double &share
+        = this->allowedShare.try_emplace(workflow->second.queue, firstAllowedShare).first->second;
+    share = std::max(lowestAllowedShare, share + shareWeight * (seen - share));
+}
+
 } // namespace gooseberry
--- a/libs/dispatch/src/board_workers.cpp
+++ b/libs/dispatch/src/board_workers.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 /** How long a worker that refused a later fence or another life is left alone. */
-constexpr std::chrono::milliseconds holdRetry{200};
+constexpr std::chrono::milliseconds holdRetry{400};
 /** Covers timers that fire late when a lease is waited for. */
 constexpr std::chrono::milliseconds lapseMargin{300};
 /** How long an end that could not be stored waits for the next try. */
@@ -213,6 +213,7 @@
     }
     if (!ok(result)) {
         worker.unanswered = true;
+        spdlog::info("event=hold-unanswered worker={} {}", id.value, describe(errorOf(result)));
         this->avoid(worker, this->settings.holdWait, "hold-unanswered");
         again(holdRetry);
         return;
--- a/libs/dispatch/src/upstream_board.cpp
+++ b/libs/dispatch/src/upstream_board.cpp
@@ -6,6 +6,13 @@
 
 namespace gooseberry {
 
+namespace {
+
+/** How often the board's load is logged. */
+constexpr std::chrono::seconds summaryInterval{1};
+
+} // namespace
+
 Resources footprint(const StepSpec &spec)
 {
     Resources size = spec.size;
@@ -71,6 +78,7 @@
 {
     this->enter([this](Effects &effects) {
         this->lapseOverdue(effects);
+        this->logSummary();
         for (auto &[id, worker] : this->workers) {
             this->wantHold(worker, effects);
         }
@@ -291,7 +299,28 @@
 BoardReadings UpstreamBoard::readings() const
 {
     const std::lock_guard lock(this->mutex);
+    return this->readingsLocked();
+}
+
+void UpstreamBoard::logSummary()
+{
+    const SteadyTime now = this->context.clock.steadyNow();
+    if (now < this->nextSummary) {
+        return;
+    }
+    this->nextSummary = now + summaryInterval;
+    const BoardReadings readings = this->readingsLocked();
+    spdlog::info("event=board upstream={} workers={} usable={} workflows={} runs={} waiting={} "
+                 "cpu={}/{} questions={}",
+                 this->upstream, readings.workers, readings.workersUsable, readings.workflows,
+                 readings.runs, readings.tasksWaiting, readings.reserved.cpu.value,
+                 readings.capacity.cpu.value, readings.openQuestions);
+}
+
+BoardReadings UpstreamBoard::readingsLocked() const
+{
     BoardReadings readings;
+    readings.openQuestions = this->openQuestions;
     const SteadyTime now = this->context.clock.steadyNow();
     readings.workers = this->workers.size();
     for (const auto &[id, worker] : this->workers) {
--- a/libs/dispatch/test/decisions_test.cpp
+++ b/libs/dispatch/test/decisions_test.cpp
@@ -121,6 +121,29 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(AdviceChoiceTest)
+
+// Replays the load after a change of leader: hundreds of steps ask at once, and each worker named
+// costs the adviser's time.
+BOOST_AUTO_TEST_CASE(NamesNoMoreWorkersThanTheStepProbablyNeeds)
+{
+    std::vector<SeatsOfWorker> workers;
+    for (int i = 0; i < 350; ++i) {
+        workers.push_back(SeatsOfWorker{.id = InstanceId(std::to_string(i)),
+                                        .seats = static_cast<std::uint64_t>(i % 4)});
+    }
+    BOOST_TEST(workersForSeats(workers, 20, 0.3).size() == 90U);
+    BOOST_TEST(workersForSeats(workers, 2, 0.7).size() == 12U);
+    // A full fleet: the question is bounded all the same.
+    for (SeatsOfWorker &worker : workers) {
+        worker.seats = 0;
+    }
+    BOOST_TEST(workersForSeats(workers, 20, 0.3).size() == 100U);
+    BOOST_TEST(workersForSeats({}, 20, 0.3).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(UrgencyTest)
 
 BOOST_AUTO_TEST_CASE(PutsWorkThatCanStillEndInTimeFirst)
--- a/libs/dispatch/test/dispatch_fixture.cpp
+++ b/libs/dispatch/test/dispatch_fixture.cpp
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 
-#include <workflow/records.h>
-
 namespace gooseberry {
 
 namespace {
