--- a/libs/cluster/include/cluster/node_settings.h
+++ b/libs/cluster/include/cluster/node_settings.h
@@ -38,7 +38,7 @@
     /** How long an ended workflow is remembered. */
     std::chrono::milliseconds retention{180'000};
     /** How long a planned stop may take in all. */
-    std::chrono::milliseconds stopPatience{5000};
+    std::chrono::milliseconds stopPatience{4200};
     /** "trace", "debug", "info", "warn" or "error". */
     std::string logLevel{"info"};
     unsigned threads = 1;
--- a/libs/cluster/src/leader_desk.cpp
+++ b/libs/cluster/src/leader_desk.cpp
@@ -143,15 +143,17 @@
                            .attempts = queue.attempts,
                            .spec = request.spec};
     this->log.propose(std::move(command),
-                      [id, accepted, done = std::move(done)](const Result<CommandOutcome> &result) {
+                      [id, queue = queue.name, customer = customer.value, accepted,
+                       done = std::move(done)](const Result<CommandOutcome> &result) {
                           if (!ok(result)) {
                               spdlog::info("event=workflow-not-stored workflow={} {}", id.value,
                                            describe(errorOf(result)));
                               done(errorOf(result));
                               return;
                           }
-                          spdlog::debug("event=workflow-accepted workflow={} new={}", id.value,
-                                        valueOf(result).changed);
+                          spdlog::info(
+                              "event=workflow-accepted workflow={} queue={} customer={} new={}",
+                              id.value, queue, customer, valueOf(result).changed);
                           done(accepted);
                       });
 }
--- a/libs/dispatch/src/advice_choice.cpp
+++ b/libs/dispatch/src/advice_choice.cpp
@@ -9,8 +9,8 @@
 /** The most workers that one question may name. */
 constexpr std::size_t maxNamed = 100;
 /**
- * Others may take seats before the answer is there, and a further question costs the adviser's whole
- * decision time again, which is many times that of a worker.
+ * Others may take seats before the answer is there, and a further question costs the adviser's
+ * whole decision time again, which is many times that of a worker.
  */
 constexpr double spareSeats = 4.0;
 /** With fewer, the answer is too often that none is allowed. */
--- a/libs/dispatch/src/board_placement.cpp
+++ b/libs/dispatch/src/board_placement.cpp
@@ -273,6 +273,15 @@
         ++candidate.live->activeRuns;
         ++placed;
     }
+    if (placed > 0) {
+        const auto slack = std::chrono::duration_cast<std::chrono::milliseconds>(
+            latestStart(candidate.urgency) - round.now);
+        spdlog::info("event=placed workflow={} occurrence={} step={} tasks={} waiting={} run={} "
+                     "slack={}ms config={}",
+                     candidate.workflow.value, candidate.occurrence, candidate.number, placed,
+                     step.waiting, round.runs.back().run.value, slack.count(),
+                     this->config->version.value);
+    }
     return placed;
 }
 
--- a/libs/dispatch/src/dispatcher.cpp
+++ b/libs/dispatch/src/dispatcher.cpp
@@ -71,8 +71,10 @@
         board->close();
     }
     this->boards.clear();
+    if (this->term) {
+        spdlog::info("event=term-ended term={}", this->term->value);
+    }
     this->term.reset();
-    spdlog::info("event=term-ended");
 }
 
 std::shared_ptr<UpstreamBoard> Dispatcher::boardOf(const std::string &upstream)
