Fail over sooner, and hand over when the leader's disk is full

Cause: urgent work has 1.75 s, and an election alone took up to 1.5 s after a lease of 0.9 s. A leader with a full disk refused all work until the disk had room again.

--- a/libs/cluster/include/cluster/cell_links.h
+++ b/libs/cluster/include/cluster/cell_links.h
@@ -84,6 +84,7 @@
     void sendBeacons(const ReplicaStatus &status);
     void askToJoin(const ReplicaStatus &status);
     void repairMembership(const ReplicaStatus &status);
+    void handOverWhenFull(const ReplicaStatus &status);
     void updatePeers();
 
     struct Hint
@@ -125,6 +126,7 @@
     Term ledTerm;
     SteadyTime ledSince;
     bool changeUnderWay = false;
+    bool handOverUnderWay = false;
 };
 
 } // namespace gooseberry
--- a/libs/cluster/include/cluster/membership_step.h
+++ b/libs/cluster/include/cluster/membership_step.h
@@ -45,4 +45,10 @@
  */
 std::optional<MembershipStep> nextMembershipStep(const MembershipView &view);
 
+/**
+ * Returns whether a leader should give up leadership although it could keep it: its disk takes no
+ * more records, so it refuses all work, while the others can still store.
+ */
+bool shouldHandOver(const ReplicaStatus &status);
+
 } // namespace gooseberry
--- a/libs/cluster/src/cell_links.cpp
+++ b/libs/cluster/src/cell_links.cpp
@@ -436,6 +436,7 @@
     if (this->replica->holdsLease()) {
         this->sendBeacons(status);
         this->repairMembership(status);
+        this->handOverWhenFull(status);
     } else {
         this->askToJoin(status);
         this->relayBeacon();
@@ -525,6 +526,23 @@
         leader, joinFrame + encodeRecord(JoinRequest{.node = this->ownId, .disk = status.disk}));
 }
 
+void CellLinks::handOverWhenFull(const ReplicaStatus &status)
+{
+    {
+        const std::lock_guard lock(this->mutex);
+        if (this->handOverUnderWay || !shouldHandOver(status)) {
+            return;
+        }
+        this->handOverUnderWay = true;
+    }
+    spdlog::warn("event=disk-full term={} action=hand-over", status.term.value);
+    this->replica->transferLeadership([this](const Status &result) {
+        spdlog::info("event=leadership-handed-over done={}", ok(result));
+        const std::lock_guard lock(this->mutex);
+        this->handOverUnderWay = false;
+    });
+}
+
 void CellLinks::repairMembership(const ReplicaStatus &status)
 {
     MembershipView view{.self = this->ownId,
--- a/libs/cluster/src/cluster_node.cpp
+++ b/libs/cluster/src/cluster_node.cpp
@@ -41,10 +41,10 @@
         = settings.bootstrap && replica.initialMembership.voters.contains(replica.self);
     // A failover takes the longest election timeout and two round trips; a voter on a slow machine
     // still answers within the shortest.
-    replica.heartbeatInterval = std::chrono::milliseconds(150);
-    replica.leaderLease = std::chrono::milliseconds(900);
-    replica.minElectionTimeout = std::chrono::milliseconds(900);
-    replica.maxElectionTimeout = std::chrono::milliseconds(1500);
+    replica.heartbeatInterval = std::chrono::milliseconds(100);
+    replica.leaderLease = std::chrono::milliseconds(600);
+    replica.minElectionTimeout = std::chrono::milliseconds(600);
+    replica.maxElectionTimeout = std::chrono::milliseconds(1000);
     replica.snapshotInterval = snapshotInterval;
     replica.seed = randomNumber();
     return replica;
--- a/libs/cluster/src/membership_step.cpp
+++ b/libs/cluster/src/membership_step.cpp
@@ -46,6 +46,14 @@
 
 } // namespace
 
+bool shouldHandOver(const ReplicaStatus &status)
+{
+    return status.leads && status.storageFull
+        && std::any_of(status.peers.begin(), status.peers.end(), [&](const auto &peer) {
+               return peer.second.caughtUp && status.membership.voters.contains(peer.first);
+           });
+}
+
 std::optional<MembershipStep> nextMembershipStep(const MembershipView &view)
 {
     const Membership &membership = view.membership;
--- a/libs/cluster/test/membership_step_test.cpp
+++ b/libs/cluster/test/membership_step_test.cpp
@@ -161,4 +161,20 @@
     }));
 }
 
+// Guards against a leader that refuses all work for as long as its disk is full.
+BOOST_AUTO_TEST_CASE(HandsOverWhenTheLeadersDiskIsFullAndAnotherVoterCanLead)
+{
+    ReplicaStatus status;
+    status.leads = true;
+    status.storageFull = true;
+    status.membership = fiveVoters().membership;
+    BOOST_TEST(!shouldHandOver(status));
+    status.peers[node(6)] = PeerStatus{.heardAt = now, .caughtUp = true};
+    BOOST_TEST(!shouldHandOver(status));
+    status.peers[node(2)] = PeerStatus{.heardAt = now, .caughtUp = true};
+    BOOST_TEST(shouldHandOver(status));
+    status.storageFull = false;
+    BOOST_TEST(!shouldHandOver(status));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
