--- a/libs/cluster/include/cluster/cluster.h
+++ b/libs/cluster/include/cluster/cluster.h
@@ -7,6 +7,7 @@
 #include <cluster/cluster_node.h>
 #include <cluster/leader_desk.h>
 #include <cluster/membership_step.h>
+#include <cluster/node_metrics.h>
 #include <cluster/node_settings.h>
 #include <cluster/requests.h>
 #include <cluster/workflow_log.h>
--- a/libs/cluster/include/cluster/cluster_node.h
+++ b/libs/cluster/include/cluster/cluster_node.h
@@ -10,6 +10,7 @@
 #include <cluster/advice_router.h>
 #include <cluster/cell_links.h>
 #include <cluster/leader_desk.h>
+#include <cluster/node_metrics.h>
 #include <cluster/node_settings.h>
 #include <cluster/workflow_log.h>
 
@@ -62,6 +63,7 @@
     Executor &executor;
     AdviserAccess &adviser;
     WorkflowState state;
+    NodeMetrics nodeMetrics;
     CellLinks links;
     AdviceRouter router;
     WorkflowLog log;
@@ -73,8 +75,6 @@
     std::vector<HeardWorker> heard;
     bool passScheduled = false;
     std::atomic<bool> stopping{false};
-    std::atomic<std::uint64_t> requestsServed{0};
-    std::atomic<std::uint64_t> requestsRefused{0};
 };
 
 } // namespace gooseberry
--- /dev/null
+++ b/libs/cluster/include/cluster/node_metrics.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include <cluster/requests.h>
+#include <dispatch/dispatch.h>
+
+namespace gooseberry {
+
+/** Readings that are taken when metrics are asked for. */
+struct NodeReadings
+{
+    bool leaderKnown = false;
+    bool keepsLog = false;
+    bool leads = false;
+    bool votes = false;
+    std::uint64_t term = 0;
+    std::uint64_t voters = 0;
+    std::uint64_t committedIndex = 0;
+    std::map<std::string, BoardReadings> boards;
+};
+
+/** The counters, latency histograms and readings of one node. Safe for several threads. */
+class NodeMetrics : public DispatchObserver
+{
+public:
+    NodeMetrics();
+    ~NodeMetrics() override;
+
+    /** A caller's request was answered after this time. */
+    void callerAnswered(CallerOutcome outcome, Duration elapsed);
+    /** An operator's order was stored, or was not. */
+    void orderAnswered(bool done, Duration elapsed);
+
+    void stepPlaced(std::size_t tasks, Duration waited) override;
+    void runLost() override;
+    void orderAnswered(const char *order, bool answered, Duration elapsed) override;
+    void adviceAnswered(bool answered, Duration elapsed) override;
+
+    /** Returns everything in the text format of Prometheus. */
+    std::string serialize(const NodeReadings &readings) const;
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> impl;
+};
+
+} // namespace gooseberry
--- a/libs/cluster/src/cluster_node.cpp
+++ b/libs/cluster/src/cluster_node.cpp
@@ -2,10 +2,6 @@
 
 #include <random>
 
-#include <prometheus/counter.h>
-#include <prometheus/gauge.h>
-#include <prometheus/registry.h>
-#include <prometheus/text_serializer.h>
 #include <spdlog/spdlog.h>
 
 #include "cluster_records.h"
@@ -96,11 +92,13 @@
                              const CommandOutcome &outcome) { this->applied(command, outcome); },
                     .termBegan = [this](Term term) { this->dispatcher.beginTerm(term); },
                     .termEnded = [this]() { this->dispatcher.endTerm(); }})
-    , dispatcher(this->settings.dispatch, initialClock, initialOrders, this->router, this->log,
-                 this->state,
-                 [&executor = initialExecutor](Duration delay, std::function<void()> task) {
-                     executor.after(delay, std::move(task));
-                 })
+    , dispatcher(
+          this->settings.dispatch, initialClock, initialOrders, this->router, this->log,
+          this->state,
+          [&executor = initialExecutor](Duration delay, std::function<void()> task) {
+              executor.after(delay, std::move(task));
+          },
+          this->nodeMetrics)
     , desk(this->state, this->log, this->dispatcher)
 {
     if (this->settings.dataFolder) {
@@ -161,20 +159,21 @@
 {
     this->links.askLeader(
         RequestKind::Caller, encodeRecord(request), this->clock.steadyNow() + patience,
-        decodeReply<CallerReply>([this, path = request.path,
+        decodeReply<CallerReply>([this, path = request.path, askedAt = this->clock.steadyNow(),
                                   done = std::move(done)](const Result<CallerReply> &result) {
+            const Duration elapsed = this->clock.steadyNow() - askedAt;
             if (ok(result)) {
-                ++this->requestsServed;
+                this->nodeMetrics.callerAnswered(valueOf(result).outcome, elapsed);
                 done(valueOf(result));
                 return;
             }
-            ++this->requestsRefused;
             spdlog::info("event=caller-not-served path={} {}", path, describe(errorOf(result)));
             CallerReply reply;
             reply.outcome = errorOf(result).outcome == Outcome::NotRun ? CallerOutcome::Unavailable
                                                                        : CallerOutcome::Uncertain;
             reply.retryAfter = electionPause;
             reply.message = errorOf(result).message;
+            this->nodeMetrics.callerAnswered(reply.outcome, elapsed);
             done(reply);
         }));
 }
@@ -182,9 +181,14 @@
 void ClusterNode::handle(const OperatorRequest &request, std::chrono::milliseconds patience,
                          std::function<void(Result<OperatorReply>)> done)
 {
-    this->links.askLeader(RequestKind::Operator, encodeRecord(request),
-                          this->clock.steadyNow() + patience,
-                          decodeReply<OperatorReply>(std::move(done)));
+    this->links.askLeader(
+        RequestKind::Operator, encodeRecord(request), this->clock.steadyNow() + patience,
+        decodeReply<OperatorReply>([this, askedAt = this->clock.steadyNow(),
+                                    done = std::move(done)](const Result<OperatorReply> &result) {
+            this->nodeMetrics.orderAnswered(ok(result) && valueOf(result).done,
+                                            this->clock.steadyNow() - askedAt);
+            done(result);
+        }));
 }
 
 void ClusterNode::handle(const WorkerNotice &report, std::chrono::milliseconds patience,
@@ -322,48 +326,21 @@
 
 std::string ClusterNode::metrics() const
 {
-    prometheus::Registry registry;
-    const auto gauge = [&](const std::string &name, const std::string &help, double value,
-                           const prometheus::Labels &labels = {}) {
-        prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add(labels).Set(value);
-    };
-    gauge("gooseberrylead_requests_served_total", "Callers' requests answered by the leader.",
-          static_cast<double>(this->requestsServed.load()));
-    gauge("gooseberrylead_requests_refused_total", "Callers' requests that no leader answered.",
-          static_cast<double>(this->requestsRefused.load()));
-    gauge("gooseberrylead_leader_known", "Whether this node knows a leader.",
-          this->links.leader() ? 1.0 : 0.0);
+    NodeReadings readings;
+    readings.leaderKnown = this->links.leader().has_value();
+    readings.keepsLog = this->replica != nullptr;
     if (this->replica) {
         const ReplicaStatus status = this->replica->status();
-        gauge("gooseberrylead_leads", "Whether this node leads.",
-              this->replica->holdsLease() ? 1.0 : 0.0);
-        gauge("gooseberrylead_term", "The term of the log.",
-              static_cast<double>(status.term.value));
-        gauge("gooseberrylead_voters", "The voters of the log.",
-              static_cast<double>(status.membership.voters.size()));
         const auto disk = status.membership.disks.find(this->links.self());
-        gauge("gooseberrylead_voter", "Whether this node votes with the disk that it has.",
-              disk != status.membership.disks.end() && disk->second == status.disk
-                      && status.membership.voters.contains(this->links.self())
-                  ? 1.0
-                  : 0.0);
-        gauge("gooseberrylead_committed_index", "The last committed entry of the log.",
-              static_cast<double>(status.committed.value));
-    }
-    for (const auto &[upstream, board] : this->dispatcher.readings()) {
-        const prometheus::Labels labels{{"upstream", upstream}};
-        gauge("gooseberrylead_workers", "Known workers.", static_cast<double>(board.workers),
-              labels);
-        gauge("gooseberrylead_workers_usable", "Workers that may get tasks.",
-              static_cast<double>(board.workersUsable), labels);
-        gauge("gooseberrylead_runs", "Runs that workers hold.", static_cast<double>(board.runs),
-              labels);
-        gauge("gooseberrylead_tasks_waiting", "Tasks whose turn has come and that do not run.",
-              static_cast<double>(board.tasksWaiting), labels);
-        gauge("gooseberrylead_workflows", "Workflows that may still run.",
-              static_cast<double>(board.workflows), labels);
+        readings.leads = this->replica->holdsLease();
+        readings.votes = disk != status.membership.disks.end() && disk->second == status.disk
+            && status.membership.voters.contains(this->links.self());
+        readings.term = status.term.value;
+        readings.voters = status.membership.voters.size();
+        readings.committedIndex = status.committed.value;
     }
-    return prometheus::TextSerializer().Serialize(registry.Collect());
+    readings.boards = this->dispatcher.readings();
+    return this->nodeMetrics.serialize(readings);
 }
 
 } // namespace gooseberry
--- a/libs/cluster/test/cluster_test.cpp
+++ b/libs/cluster/test/cluster_test.cpp
@@ -238,6 +238,10 @@
     for (const auto &[number, node] : this->nodes) {
         BOOST_TEST(this->read(number) == "version 1");
     }
+    // Operators see how long their orders took.
+    BOOST_TEST(this->nodes.at(9)->node->metrics().find(
+                   "gooseberrylead_operator_order_seconds_bucket{done=\"true\",le=\"5\"}")
+               != std::string::npos);
 }
 
 // Guards against entry nodes that know only seeds and find no leader when none of these leads.
--- a/libs/dispatch/include/dispatch/dispatch.h
+++ b/libs/dispatch/include/dispatch/dispatch.h
@@ -8,6 +8,7 @@
 #include <dispatch/customer_ledger.h>
 #include <dispatch/dispatcher.h>
 #include <dispatch/live_work.h>
+#include <dispatch/observer.h>
 #include <dispatch/placement_choice.h>
 #include <dispatch/ports.h>
 #include <dispatch/settings.h>
--- a/libs/dispatch/include/dispatch/dispatcher.h
+++ b/libs/dispatch/include/dispatch/dispatcher.h
@@ -18,7 +18,8 @@
 public:
     Dispatcher(DispatchSettings initialSettings, const Clock &initialClock,
                WorkerOrders &initialOrders, AdviserAccess &initialAdviser, CommandSink &initialLog,
-               const WorkflowState &initialState, Schedule initialSchedule);
+               const WorkflowState &initialState, Schedule initialSchedule,
+               DispatchObserver &initialObserver);
 
     /** Takes over everything that the replicated state knows. */
     void beginTerm(Term term);
@@ -48,6 +49,7 @@
     CommandSink &log;
     const WorkflowState &state;
     const Schedule schedule;
+    DispatchObserver &observer;
 
     mutable std::mutex mutex; ///< Guards the members below.
     std::optional<Term> term;
--- a/libs/dispatch/include/dispatch/upstream_board.h
+++ b/libs/dispatch/include/dispatch/upstream_board.h
@@ -10,6 +10,7 @@
 
 #include <dispatch/customer_ledger.h>
 #include <dispatch/live_work.h>
+#include <dispatch/observer.h>
 #include <dispatch/placement_choice.h>
 #include <dispatch/ports.h>
 #include <dispatch/settings.h>
@@ -27,6 +28,7 @@
     std::shared_ptr<CustomerLedger> ledger;
     const WorkflowState &state;
     Schedule schedule;
+    DispatchObserver &observer;
 };
 
 /** Counters of one board, for metrics. */
--- a/libs/dispatch/src/board_placement.cpp
+++ b/libs/dispatch/src/board_placement.cpp
@@ -274,6 +274,7 @@
         ++placed;
     }
     if (placed > 0) {
+        this->context.observer.stepPlaced(placed, round.now - candidate.urgency.acceptedAt);
         const auto slack = std::chrono::duration_cast<std::chrono::milliseconds>(
             latestStart(candidate.urgency) - round.now);
         spdlog::info("event=placed workflow={} occurrence={} step={} tasks={} waiting={} run={} "
@@ -355,9 +356,11 @@
     ++this->openQuestions;
     const std::chrono::microseconds cost = candidate.advice->decision
         + candidate.advice->perWorker * static_cast<std::int64_t>(request.workers.size());
-    effects.push_back([self = this->shared_from_this(), request, cost]() {
+    effects.push_back([self = this->shared_from_this(), request, cost, asked = round.now]() {
         self->context.adviser.advise(
-            request, cost, [self, request](const Result<AdviceReply> &result) {
+            request, cost, [self, request, asked](const Result<AdviceReply> &result) {
+                self->context.observer.adviceAnswered(ok(result),
+                                                      self->context.clock.steadyNow() - asked);
                 self->enter([&](Effects &later) { self->onAdvice(request, result, later); });
             });
     });
--- a/libs/dispatch/src/board_runs.cpp
+++ b/libs/dispatch/src/board_runs.cpp
@@ -113,10 +113,13 @@
     const WorkerRef ref{
         .id = worker.record.id, .address = worker.record.address, .life = worker.record.life};
     effects.push_back([self = this->shared_from_this(), ref, order]() {
-        const auto answer = [self, key = order.task, run = order.run,
-                             id = ref.id](const Result<StartReply> &result) {
-            self->enter([&](Effects &later) { self->onStart(key, run, id, result, later); });
-        };
+        const auto answer
+            = [self, key = order.task, run = order.run, id = ref.id,
+               sentAt = self->context.clock.steadyNow()](const Result<StartReply> &result) {
+                  self->context.observer.orderAnswered("start", ok(result),
+                                                       self->context.clock.steadyNow() - sentAt);
+                  self->enter([&](Effects &later) { self->onStart(key, run, id, result, later); });
+              };
         if (!self->context.log.holdsLease()) {
             answer(Error{.code = ErrorCode::NotLeader,
                          .step = Step::Send,
@@ -249,6 +252,9 @@
     const LiveRun run = *task->run;
     const StepSpec &spec = workflow->spec->steps[key.step];
     task->run.reset();
+    if (run.phase != RunPhase::Ending && !task->done) {
+        this->context.observer.runLost();
+    }
     if (!run.checkpoint.empty()) {
         task->checkpoint = run.checkpoint;
     }
--- a/libs/dispatch/src/dispatcher.cpp
+++ b/libs/dispatch/src/dispatcher.cpp
@@ -7,7 +7,7 @@
 Dispatcher::Dispatcher(DispatchSettings initialSettings, const Clock &initialClock,
                        WorkerOrders &initialOrders, AdviserAccess &initialAdviser,
                        CommandSink &initialLog, const WorkflowState &initialState,
-                       Schedule initialSchedule)
+                       Schedule initialSchedule, DispatchObserver &initialObserver)
     : settings(initialSettings)
     , clock(initialClock)
     , orders(initialOrders)
@@ -15,6 +15,7 @@
     , log(initialLog)
     , state(initialState)
     , schedule(std::move(initialSchedule))
+    , observer(initialObserver)
 {
 }
 
@@ -29,7 +30,8 @@
                                                                      .log = this->log,
                                                                      .ledger = this->ledger,
                                                                      .state = this->state,
-                                                                     .schedule = this->schedule});
+                                                                     .schedule = this->schedule,
+                                                                     .observer = this->observer});
     }
     return found->second;
 }
--- a/libs/dispatch/test/dispatch_fixture.cpp
+++ b/libs/dispatch/test/dispatch_fixture.cpp
@@ -267,7 +267,8 @@
 }
 
 DispatchFixture::DispatchFixture(std::size_t workerCount)
-    : dispatcher(DispatchSettings{}, clock, workers, adviser, log, state, timers.schedule())
+    : dispatcher(DispatchSettings{}, clock, workers, adviser, log, state, timers.schedule(),
+                 observer)
 {
     this->config.version = ConfigVersion(1);
     QueueRule queue;
--- a/libs/dispatch/test/dispatch_fixture.h
+++ b/libs/dispatch/test/dispatch_fixture.h
@@ -125,6 +125,33 @@
     FakeTimers &timers;
 };
 
+/** Counts what metrics are told. */
+class CountingObserver : public DispatchObserver
+{
+public:
+    void stepPlaced(std::size_t tasks, Duration /*waited*/) override
+    {
+        this->placed += tasks;
+    }
+    void runLost() override
+    {
+        ++this->lost;
+    }
+    void orderAnswered(const char * /*order*/, bool /*answered*/, Duration /*elapsed*/) override
+    {
+        ++this->orders;
+    }
+    void adviceAnswered(bool /*answered*/, Duration /*elapsed*/) override
+    {
+        ++this->advice;
+    }
+
+    std::size_t placed = 0;
+    std::size_t lost = 0;
+    std::size_t orders = 0;
+    std::size_t advice = 0;
+};
+
 /** A cell with one queue, one customer and workers of 16 cores each. */
 struct DispatchFixture
 {
@@ -154,6 +181,7 @@
     FakeCommandLog log{state, timers};
     FakeWorkers workers{timers, clock};
     FakeAdviser adviser{timers};
+    CountingObserver observer;
     Dispatcher dispatcher;
     RoutingConfig config;
     Term term{1};
--- a/libs/dispatch/test/dispatcher_test.cpp
+++ b/libs/dispatch/test/dispatcher_test.cpp
@@ -49,6 +49,9 @@
     BOOST_TEST((cell.phase(id) == WorkflowPhase::Completed));
     BOOST_TEST(startsOf(cell) == 5U);
     BOOST_TEST(cell.workers.violations.empty());
+    BOOST_TEST(cell.observer.placed == 5U);
+    BOOST_TEST(cell.observer.orders == 5U);
+    BOOST_TEST(cell.observer.lost == 0U);
 }
 
 BOOST_AUTO_TEST_CASE(TellsNoWorkerBeforeTheAssignmentIsStored)
