Start nothing on a worker whose last hold got no answer

Cause: a worker that a cut had silenced got starts again after 1.5 s, until it counted as silent. Such starts are held up and arrive when the cut heals.

Change: such a worker gets nothing before it answers a hold, and is asked again; an unanswered start to an earlier life of a worker is not taken for over by that life's lease. Lint findings mended.

--- a/libs/dispatch/src/board_placement.cpp
+++ b/libs/dispatch/src/board_placement.cpp
@@ -156,7 +156,7 @@
 
 bool UpstreamBoard::isUsable(const UpstreamWorker &worker, SteadyTime now) const
 {
-    return worker.fenceRaised && worker.clock && !worker.record.draining
+    return worker.fenceRaised && worker.clock && !worker.unanswered && !worker.record.draining
         && worker.record.upstream == this->upstream && now >= worker.avoidUntil
         && now - worker.heardAt <= this->settings.silenceLimit
         && !this->evacuated.contains(worker.record.domain);
--- a/libs/dispatch/src/board_workers.cpp
+++ b/libs/dispatch/src/board_workers.cpp
@@ -12,6 +12,8 @@
 
 /** How long a worker that refused a later fence or another life is left alone. */
 constexpr std::chrono::milliseconds holdRetry{400};
+/** An order that got no answer may be carried out this much later, also by a worker's next life. */
+constexpr std::chrono::seconds lateOrderBound{15};
 /** Covers timers that fire late when a lease is waited for. */
 constexpr std::chrono::milliseconds lapseMargin{300};
 /** How long an end that could not be stored waits for the next try. */
@@ -82,6 +84,8 @@
             // The order may still arrive, at the new life.
             task->run->phase = RunPhase::Uncertain;
             task->run->stopAnsweredAt.reset();
+            // The lease in the order is a time on the earlier life's clock.
+            worker.leaseOverAt = std::max(worker.leaseOverAt, now + lateOrderBound);
             this->wantStop(key, *task->run, effects);
         } else if (task->run->phase != RunPhase::Proposed) {
             spdlog::info("event=run-lost task={} run={} worker={} reason=worker-restarted",
@@ -143,7 +147,8 @@
 {
     const SteadyTime now = this->context.clock.steadyNow();
     const bool needed = !worker.runs.empty() || !worker.strays.empty()
-        || acknowledgeable(worker) > worker.acknowledgedEnds || !worker.fenceRaised;
+        || acknowledgeable(worker) > worker.acknowledgedEnds || !worker.fenceRaised
+        || worker.unanswered;
     if (worker.holdInFlight || worker.holdScheduled || !needed
         || now - worker.heardAt > this->settings.silenceLimit) {
         return;
--- a/libs/dispatch/test/decisions_test.cpp
+++ b/libs/dispatch/test/decisions_test.cpp
@@ -127,8 +127,10 @@
 // costs the adviser's time.
 BOOST_AUTO_TEST_CASE(NamesNoMoreWorkersThanTheStepProbablyNeeds)
 {
+    constexpr int workerCount = 350;
     std::vector<SeatsOfWorker> workers;
-    for (int i = 0; i < 350; ++i) {
+    workers.reserve(workerCount);
+    for (int i = 0; i < workerCount; ++i) {
         workers.push_back(SeatsOfWorker{.id = InstanceId(std::to_string(i)),
                                         .seats = static_cast<std::uint64_t>(i % 4)});
     }
--- a/libs/dispatch/test/dispatch_fixture.cpp
+++ b/libs/dispatch/test/dispatch_fixture.cpp
@@ -314,7 +314,7 @@
         ProposedCommand{.origin = 1, .number = 1, .at = now, .command = std::move(command)});
 }
 
-void DispatchFixture::put(std::function<void(RoutingConfig &)> change)
+void DispatchFixture::put(const std::function<void(RoutingConfig &)> &change)
 {
     change(this->config);
     ++this->config.version.value;
@@ -344,7 +344,8 @@
     this->dispatcher.workflowCancelled(id);
 }
 
-void DispatchFixture::announce(const InstanceId &id, std::function<void(WorkerRecord &)> change)
+void DispatchFixture::announce(const InstanceId &id,
+                               const std::function<void(WorkerRecord &)> &change)
 {
     WorkerRecord &record = this->workers.workers[id].record;
     change(record);
--- a/libs/dispatch/test/dispatch_fixture.h
+++ b/libs/dispatch/test/dispatch_fixture.h
@@ -157,11 +157,11 @@
 {
     explicit DispatchFixture(std::size_t workerCount = 2);
 
-    void put(std::function<void(RoutingConfig &)> change);
+    void put(const std::function<void(RoutingConfig &)> &change);
     WorkflowId submit(const std::string &id, std::vector<StepSpec> steps,
                       const std::string &customer = "customer");
     void cancel(const WorkflowId &id);
-    void announce(const InstanceId &id, std::function<void(WorkerRecord &)> change);
+    void announce(const InstanceId &id, const std::function<void(WorkerRecord &)> &change);
     void evacuate(const std::string &domain, bool evacuated);
     /** Ends the leader's term and begins another one on the same state. */
     void changeLeader();
--- a/libs/dispatch/test/dispatcher_test.cpp
+++ b/libs/dispatch/test/dispatcher_test.cpp
@@ -178,6 +178,24 @@
     BOOST_TEST(cell.workers.violations.empty());
 }
 
+// Guards against starts that a cut holds up and that arrive when it heals.
+BOOST_AUTO_TEST_CASE(StartsNothingOnAWorkerWhoseLastHoldGotNoAnswer)
+{
+    DispatchFixture cell(1);
+    cell.submit("a", {DispatchFixture::step(1)});
+    cell.run(300ms);
+    FakeWorker &worker = cell.workers.workers[DispatchFixture::workerId(0)];
+    worker.mute = true;
+    cell.run(2600ms);
+    cell.submit("b", {DispatchFixture::step(1)});
+    cell.run(700ms);
+    worker.mute = false;
+    cell.workers.deliverLate();
+    BOOST_TEST(worker.starts == 1U);
+    cell.run(2000ms);
+    BOOST_TEST(worker.starts == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(RunsTasksAgainAtOnceWhenANewLifeProvesTheOldOneOver)
 {
     DispatchFixture cell(2);
--- a/libs/workflow/src/workflow_spec.cpp
+++ b/libs/workflow/src/workflow_spec.cpp
@@ -9,7 +9,7 @@
 /** Bounds what one workflow may take of a control instance's memory. */
 constexpr std::size_t maxSteps = 256;
 constexpr std::size_t maxTasks = 20'000;
-constexpr std::size_t maxPayload = 16 * 1024;
+constexpr std::size_t maxPayload = std::size_t{16} * 1024;
 
 Error invalid(const std::string &message)
 {
