Remove an unused function and rename a log event

Cause: coreSeconds() was used nowhere, and an event's name read like a call of the platform.

Change: as the title says; no behaviour.

Measured: the tests of workflow and dispatch pass.

--- a/libs/dispatch/src/board_runs.cpp
+++ b/libs/dispatch/src/board_runs.cpp
@@ -144,7 +144,7 @@
         return;
     }
     if (ok(result) && valueOf(result).verdict == StartVerdict::Started) {
-        spdlog::debug("event=run-started task={} run={} worker={}", toString(key), run.value,
+        spdlog::debug("event=run-confirmed task={} run={} worker={}", toString(key), run.value,
                       id.value);
         if (task->run->phase == RunPhase::Ordered) {
             task->run->phase = RunPhase::Running;
--- a/libs/workflow/include/workflow/workflow_spec.h
+++ b/libs/workflow/include/workflow/workflow_spec.h
@@ -98,7 +98,4 @@
 /** Returns the longest chain of estimates through the steps. */
 std::chrono::milliseconds longestChain(const WorkflowSpec &spec);
 
-/** Returns the processor time that all tasks of one occurrence need, in seconds of one core. */
-double coreSeconds(const WorkflowSpec &spec);
-
 } // namespace gooseberry
--- a/libs/workflow/src/workflow_spec.cpp
+++ b/libs/workflow/src/workflow_spec.cpp
@@ -88,15 +88,4 @@
     return longest;
 }
 
-double coreSeconds(const WorkflowSpec &spec)
-{
-    double total = 0.0;
-    for (const StepSpec &step : spec.steps) {
-        const double cores = static_cast<double>(step.size.cpu.value) / 1000.0;
-        const std::chrono::duration<double> length(step.estimate);
-        total += cores * length.count() * step.count;
-    }
-    return total;
-}
-
 } // namespace gooseberry
