--- a/libs/dispatch/include/dispatch/upstream_board.h
+++ b/libs/dispatch/include/dispatch/upstream_board.h
@@ -133,7 +133,8 @@
     /** The run certainly does not run and never will; the task can run again. */
     void releaseRun(const TaskKey &key, Effects &effects);
     void breakGang(const TaskKey &key, RunNumber run, Effects &effects);
-    void taskDone(const TaskKey &key, Effects &effects);
+    /** The run has ended as done, and with it the task or the whole gang. */
+    void taskDone(const TaskKey &key, RunNumber run, Effects &effects);
     void avoid(UpstreamWorker &worker, Duration time, const char *reason);
     void workerFailed(UpstreamWorker &worker, const TaskKey &key);
 
--- a/libs/dispatch/src/board_runs.cpp
+++ b/libs/dispatch/src/board_runs.cpp
@@ -291,7 +291,7 @@
     }
 }
 
-void UpstreamBoard::taskDone(const TaskKey &key, Effects &effects)
+void UpstreamBoard::taskDone(const TaskKey &key, RunNumber run, Effects &effects)
 {
     LiveWorkflow *workflow = nullptr;
     LiveStep *step = nullptr;
@@ -306,14 +306,18 @@
         }
         ended.done = true;
         ++step->done;
-        if (ended.run && (ended.run->phase == RunPhase::Ending || spec.gang)) {
+        // Only the run that ended has left its room. A later one, begun when this one counted as
+        // lost, takes its own until it has stopped.
+        if (ended.run && ended.run->number == run) {
             this->releaseRun(endedKey, effects);
         } else if (ended.run) {
             this->wantStop(endedKey, *ended.run, effects);
         }
     };
     if (spec.longRunning) {
-        this->releaseRun(key, effects);
+        if (task->run && task->run->number == run) {
+            this->releaseRun(key, effects);
+        }
         return;
     }
     const WorkflowId id = key.workflow;
--- a/libs/dispatch/src/board_workers.cpp
+++ b/libs/dispatch/src/board_workers.cpp
@@ -395,7 +395,7 @@
             continue;
         }
         if (end.result == StoredResult::Done) {
-            this->taskDone(end.task, effects);
+            this->taskDone(end.task, end.run, effects);
         } else if (task->run && task->run->number == end.run) {
             this->breakGang(end.task, end.run, effects);
             this->releaseRun(end.task, effects);
--- a/libs/dispatch/test/dispatcher_test.cpp
+++ b/libs/dispatch/test/dispatcher_test.cpp
@@ -197,6 +197,60 @@
     BOOST_TEST(worker.running.contains(DispatchFixture::task(next, 0)));
 }
 
+// Guards against counting a worker's room as free while a later run of a gang still takes it: the
+// end of an earlier run, listed after the cut of its worker has healed, completes the workflow.
+BOOST_AUTO_TEST_CASE(KeepsTheRoomOfALaterRunWhenAnEarlierOneTurnsOutDone)
+{
+    DispatchFixture cell(2);
+    StepSpec gang = DispatchFixture::step(2, 8000);
+    gang.gang = true;
+    const WorkflowId id = cell.submit("gang", {gang});
+    cell.run(300ms);
+    const InstanceId cut = workerOf(cell, DispatchFixture::task(id, 0));
+    const InstanceId other = cut == DispatchFixture::workerId(0) ? DispatchFixture::workerId(1)
+                                                                 : DispatchFixture::workerId(0);
+    cell.workers.workers[cut].mute = true;
+    cell.run(7500ms);
+    BOOST_REQUIRE(cell.workers.workers[other].running.size() == 2U);
+    cell.submit("next", {DispatchFixture::step(2, 16'000)});
+    cell.run(100ms);
+    cell.workers.workers[other].muteStops = true;
+    cell.workers.end(cut, DispatchFixture::task(id, 0), EndKind::Done);
+    cell.workers.end(cut, DispatchFixture::task(id, 1), EndKind::Done);
+    cell.workers.workers[cut].mute = false;
+    cell.run(3000ms);
+    BOOST_TEST((cell.phase(id) == WorkflowPhase::Completed));
+    BOOST_TEST(cell.workers.workers[other].running.size() == 2U);
+    cell.workers.workers[other].muteStops = false;
+    cell.run(2000ms);
+    BOOST_TEST(cell.workers.workers[other].running.size() == 1U);
+}
+
+// The same for a task that runs on: a second run beside the present one would be one too many.
+BOOST_AUTO_TEST_CASE(KeepsTheRunOfALongRunningTaskWhenAnEarlierOneTurnsOutDone)
+{
+    DispatchFixture cell(2);
+    StepSpec serving = DispatchFixture::step(1);
+    serving.longRunning = true;
+    const WorkflowId id = cell.submit("serving", {serving});
+    cell.run(300ms);
+    const TaskKey task = DispatchFixture::task(id, 0);
+    const InstanceId cut = workerOf(cell, task);
+    cell.workers.workers[cut].mute = true;
+    cell.run(7500ms);
+    BOOST_REQUIRE(cell.workers.runningTasks() == 2U);
+    cell.workers.end(cut, task, EndKind::Done);
+    cell.workers.workers[cut].mute = false;
+    cell.workers.violations.clear();
+    cell.run(3000ms);
+    BOOST_TEST(cell.workers.runningTasks() == 1U);
+    BOOST_TEST(cell.workers.violations.empty());
+    cell.changeLeader();
+    cell.run(2000ms);
+    BOOST_TEST(cell.workers.runningTasks() == 1U);
+    BOOST_TEST(cell.workers.violations.empty());
+}
+
 BOOST_AUTO_TEST_CASE(RunsTasksAgainAtOnceWhenANewLifeProvesTheOldOneOver)
 {
     DispatchFixture cell(2);
--- a/libs/workflow/src/workflow_state.cpp
+++ b/libs/workflow/src/workflow_state.cpp
@@ -201,7 +201,10 @@
                             const RunEnd &end)
 {
     if (spec.longRunning) {
-        step.tasks[end.task.index].phase = StoredTaskPhase::Waiting;
+        // The late end of an earlier run says nothing about the one that is assigned now.
+        if (step.tasks[end.task.index].run == end.run) {
+            step.tasks[end.task.index].phase = StoredTaskPhase::Waiting;
+        }
         return false;
     }
     if (spec.gang) {
