--- a/libs/cluster/include/cluster/node_settings.h
+++ b/libs/cluster/include/cluster/node_settings.h
@@ -35,6 +35,14 @@
     std::optional<Address> adviser;
     /** How many voters the cell keeps; twice the losses that it survives, and one. */
     std::uint32_t voters = 5;
+    /**
+     * How long the leader may lead without being heard by a majority, and the shortest time after
+     * which another election begins. A longer one bears slower machines, a shorter one ends
+     * outages sooner.
+     */
+    std::chrono::milliseconds leaderLease{350};
+    /** A link on which nothing was answered for this long is replaced. */
+    std::chrono::milliseconds linkSilence{1000};
     /** How long an ended workflow is remembered. */
     std::chrono::milliseconds retention{180'000};
     /** How long a planned stop may take in all. */
--- a/libs/cluster/src/cluster_node.cpp
+++ b/libs/cluster/src/cluster_node.cpp
@@ -10,6 +10,8 @@
 
 namespace {
 
+/** Heartbeats of the leader within one lease. */
+constexpr int heartbeatsPerLease = 5;
 /** What a caller may be told to wait while a leader is being elected. */
 constexpr std::chrono::milliseconds electionPause{1000};
 /** A snapshot is taken when the log has grown by this; a small part of the smallest disk. */
@@ -35,12 +37,13 @@
     }
     replica.bootstrap
         = settings.bootstrap && replica.initialMembership.voters.contains(replica.self);
-    // A failover takes the longest election timeout and two round trips; a voter on a slow machine
-    // still answers within the shortest.
-    replica.heartbeatInterval = std::chrono::milliseconds(100);
-    replica.leaderLease = std::chrono::milliseconds(600);
-    replica.minElectionTimeout = std::chrono::milliseconds(600);
-    replica.maxElectionTimeout = std::chrono::milliseconds(1000);
+    // The lease covers a machine that stands still for a tenth of a second, when its share of the
+    // processor is used up, and two lost heartbeats. A failover takes the longest election timeout
+    // and two round trips.
+    replica.leaderLease = settings.leaderLease;
+    replica.heartbeatInterval = settings.leaderLease / heartbeatsPerLease;
+    replica.minElectionTimeout = settings.leaderLease;
+    replica.maxElectionTimeout = settings.leaderLease * 3 / 2;
     replica.snapshotInterval = snapshotInterval;
     replica.seed = randomNumber();
     return replica;
--- a/libs/cluster/src/node_settings.cpp
+++ b/libs/cluster/src/node_settings.cpp
@@ -13,6 +13,8 @@
 constexpr std::int64_t maxThreads = 64;
 constexpr std::int64_t maxPort = 65'535;
 constexpr std::int64_t maxVoters = 9;
+/** Several heartbeats, each a few round trips long, have to fit. */
+constexpr std::int64_t minLeaseMillis = 50;
 constexpr std::int64_t maxMillis = 24LL * 3600 * 1000;
 const std::array<std::string, 5> logLevels{"trace", "debug", "info", "warn", "error"};
 
@@ -50,6 +52,10 @@
         settings.voters
             = static_cast<std::uint32_t>(this->reader.integer("voters", 5, 1, maxVoters));
         settings.threads = static_cast<unsigned>(this->reader.integer("threads", 1, 1, maxThreads));
+        settings.leaderLease = std::chrono::milliseconds(this->reader.integer(
+            "leaderLeaseMillis", settings.leaderLease.count(), minLeaseMillis, maxMillis));
+        settings.linkSilence = std::chrono::milliseconds(this->reader.integer(
+            "linkSilenceMillis", settings.linkSilence.count(), minLeaseMillis, maxMillis));
         settings.retention = this->duration("retention", settings.retention);
         settings.stopPatience = this->duration("stopPatience", settings.stopPatience);
         this->readDispatch(settings.dispatch);
