--- a/libs/cluster/include/cluster/cell_links.h
+++ b/libs/cluster/include/cluster/cell_links.h
@@ -68,24 +68,39 @@
 private:
     struct Question;
 
-    void attempt(const std::shared_ptr<Question> &question);
-    void answered(const std::shared_ptr<Question> &question, Result<std::string> result);
-    void onFrame(const InstanceId &from, const std::string &frame);
+    /** Three beacons may be lost before the leader counts as unknown. */
+    static constexpr std::chrono::milliseconds hintLifetime{1200};
+
+    // cell_questions.cpp: requests to the leader.
+    /** Asks once more, unless an attempt after the named one was made meanwhile. */
+    void attempt(const std::shared_ptr<Question> &question, std::uint64_t earlier);
+    void answered(const std::shared_ptr<Question> &question, std::uint64_t attempt,
+                  Result<std::string> result);
+    /** Asks a new leader at once what another node has not answered: that one may be silent. */
+    void askNewLeader(const InstanceId &leader);
     void onRequest(const std::string &frame, const PeerHandlers::Reply &reply);
     void call(const InstanceId &node, const std::string &frame, std::chrono::milliseconds patience,
               std::function<void(Result<std::string>)> done);
-    /** Returns the leader if there is a link with it, or else another node that keeps the log. */
-    std::optional<InstanceId> nextHop();
+    /**
+     * Returns the leader if there is a link with it, or else another node that keeps the log, if
+     * possible not the one that was asked before.
+     */
+    std::optional<InstanceId> nextHop(const InstanceId &askedBefore);
+
+    // cell_links.cpp: links and beacons.
+    void onFrame(const InstanceId &from, const std::string &frame);
     void onBeacon(const std::string &bytes);
     void relayBeacon();
-    void onJoin(const std::string &bytes);
     void scheduleStep();
     void step();
     void sendBeacons(const ReplicaStatus &status);
+    void updatePeers();
+
+    // cell_membership.cpp: who keeps the log.
+    void onJoin(const std::string &bytes);
     void askToJoin(const ReplicaStatus &status);
     void repairMembership(const ReplicaStatus &status);
     void handOverWhenFull(const ReplicaStatus &status);
-    void updatePeers();
 
     struct Hint
     {
@@ -111,6 +126,7 @@
 
     mutable std::mutex mutex; ///< Guards the members below.
     bool stopped = false;
+    std::set<std::shared_ptr<Question>> openQuestions;
     std::set<InstanceId> seedIds;
     std::set<InstanceId> keepers;
     std::set<InstanceId> connected;
--- a/libs/cluster/src/cell_links.cpp
+++ b/libs/cluster/src/cell_links.cpp
@@ -15,35 +15,14 @@
 
 constexpr char quorumFrame = 'q';
 constexpr char beaconFrame = 'b';
-constexpr char joinFrame = 'j';
-constexpr char answerFrame = 'y';
-constexpr char refusalFrame = 'n';
-/** Second byte of a request: whether the receiver may pass it on to the leader. */
-constexpr char mayRelay = '0';
-constexpr char relayed = '1';
 
 /** How often a node with a log looks at its duties; a part of the replica's lease. */
 constexpr std::chrono::milliseconds stepInterval{100};
 constexpr std::chrono::milliseconds entryStepInterval{500};
 /** A node without a log notices a change of leader within this and its link's silence limit. */
 constexpr std::chrono::milliseconds beaconInterval{250};
-/** Three beacons may be lost before the leader counts as unknown. */
-constexpr std::chrono::milliseconds hintLifetime{1200};
 /** Relayed beacons only lead a node to the leader, which then sends its own. */
 constexpr std::chrono::milliseconds relayInterval{1000};
-/** What a node that is asked in place of the leader waits for the leader's answer. */
-constexpr std::chrono::milliseconds relayPatience{1500};
-constexpr std::chrono::milliseconds joinInterval{300};
-/** A node that has not asked to join for this long no longer does. */
-constexpr std::chrono::milliseconds joinLifetime{1000};
-/** The pause before the leader is asked again. */
-constexpr std::chrono::milliseconds askPause{40};
-
-Error linkError(ErrorCode code, const std::string &message, Outcome outcome)
-{
-    return Error{
-        .code = code, .step = Step::Forward, .peer = {}, .message = message, .outcome = outcome};
-}
 
 PeerNetworkSettings networkSettings(const NodeSettings &settings)
 {
@@ -52,7 +31,7 @@
     network.self = peerId(network.listen);
     network.cellName = "cell";
     network.heartbeatInterval = std::chrono::milliseconds(300);
-    network.silenceLimit = std::chrono::milliseconds(1000);
+    network.silenceLimit = settings.linkSilence;
     network.maxReconnectDelay = std::chrono::milliseconds(500);
     network.seed = std::hash<std::string>{}(network.self.value);
     return network;
@@ -60,16 +39,6 @@
 
 } // namespace
 
-/** A request to the leader that has not been answered. */
-struct CellLinks::Question
-{
-    RequestKind kind = RequestKind::Caller;
-    std::string request;
-    SteadyTime deadline;
-    std::function<void(Result<std::string>)> done;
-    Outcome outcome = Outcome::NotRun;
-};
-
 CellLinks::CellLinks(Executor &initialExecutor, const Clock &initialClock,
                      const NodeSettings &initialSettings, ServeRequest initialServe)
     : executor(initialExecutor)
@@ -87,13 +56,19 @@
     handlers.onLink = [this](const InstanceId &peer, bool /*up*/) {
         const bool up = this->network->connected(peer);
         spdlog::info("event=link-changed peer={} connected={}", peer.value, up);
-        const std::lock_guard lock(this->mutex);
-        if (up) {
-            this->connected.insert(peer);
-            this->nextBeacon = SteadyTime{};
-            this->nextRelay = SteadyTime{};
-        } else {
-            this->connected.erase(peer);
+        bool leaderLinked = false;
+        {
+            const std::lock_guard lock(this->mutex);
+            if (up) {
+                leaderLinked = this->connected.insert(peer).second && peer == this->hint.leader;
+                this->nextBeacon = SteadyTime{};
+                this->nextRelay = SteadyTime{};
+            } else {
+                this->connected.erase(peer);
+            }
+        }
+        if (leaderLinked) {
+            this->askNewLeader(peer);
         }
     };
     this->network = std::make_unique<PeerNetwork>(this->executor, networkSettings(this->settings),
@@ -124,9 +99,11 @@
 
 void CellLinks::stop()
 {
+    std::set<std::shared_ptr<Question>> unanswered;
     {
         const std::lock_guard lock(this->mutex);
         this->stopped = true;
+        unanswered.swap(this->openQuestions);
     }
     this->network->stop();
 }
@@ -208,144 +185,6 @@
     return this->connected;
 }
 
-void CellLinks::askLeader(RequestKind kind, std::string request, SteadyTime deadline,
-                          std::function<void(Result<std::string>)> done)
-{
-    auto question = std::make_shared<Question>();
-    question->kind = kind;
-    question->request = std::move(request);
-    question->deadline = deadline;
-    question->done = std::move(done);
-    this->attempt(question);
-}
-
-void CellLinks::attempt(const std::shared_ptr<Question> &question)
-{
-    if (this->replica != nullptr && this->replica->holdsLease()) {
-        this->serve(question->kind, question->request,
-                    [this, question](Result<std::string> result) {
-                        this->answered(question, std::move(result));
-                    });
-        return;
-    }
-    const std::optional<InstanceId> target = this->nextHop();
-    if (!target) {
-        this->answered(question,
-                       linkError(ErrorCode::NotLeader, "no leader is known", Outcome::NotRun));
-        return;
-    }
-    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
-        question->deadline - this->clock.steadyNow());
-    this->askNode(*target, question->kind, question->request,
-                  std::max(left, std::chrono::milliseconds(1)),
-                  [this, question](Result<std::string> result) {
-                      this->answered(question, std::move(result));
-                  });
-}
-
-void CellLinks::answered(const std::shared_ptr<Question> &question, Result<std::string> result)
-{
-    if (ok(result)) {
-        question->done(std::move(result));
-        return;
-    }
-    if (errorOf(result).outcome == Outcome::Unknown) {
-        question->outcome = Outcome::Unknown;
-    }
-    {
-        const std::lock_guard lock(this->mutex);
-        if (this->stopped) {
-            return;
-        }
-    }
-    if (this->clock.steadyNow() + askPause >= question->deadline) {
-        Error error = errorOf(result);
-        error.outcome = question->outcome;
-        question->done(error);
-        return;
-    }
-    this->executor.after(askPause, [this, question]() { this->attempt(question); });
-}
-
-std::optional<InstanceId> CellLinks::nextHop()
-{
-    std::optional<InstanceId> known = this->leader();
-    const std::lock_guard lock(this->mutex);
-    if (known && this->connected.contains(*known)) {
-        return known;
-    }
-    std::vector<InstanceId> others;
-    for (const InstanceId &keeper : this->keepers) {
-        if (keeper != this->ownId && this->connected.contains(keeper)) {
-            others.push_back(keeper);
-        }
-    }
-    if (others.empty()) {
-        return std::nullopt;
-    }
-    return others[this->lastHop++ % others.size()];
-}
-
-void CellLinks::askNode(const InstanceId &node, RequestKind kind, const std::string &request,
-                        std::chrono::milliseconds patience,
-                        std::function<void(Result<std::string>)> done)
-{
-    this->call(node, std::string{static_cast<char>(kind), mayRelay} + request, patience,
-               std::move(done));
-}
-
-void CellLinks::call(const InstanceId &node, const std::string &frame,
-                     std::chrono::milliseconds patience,
-                     std::function<void(Result<std::string>)> done)
-{
-    this->network->call(
-        node, frame, patience, [done = std::move(done), node](const Result<std::string> &result) {
-            if (!ok(result)) {
-                done(errorOf(result));
-                return;
-            }
-            const std::string &answer = valueOf(result);
-            if (!answer.empty() && answer.front() == answerFrame) {
-                done(answer.substr(1));
-                return;
-            }
-            const bool unknown = answer == std::string{refusalFrame, 'u'};
-            Error error = linkError(ErrorCode::NotLeader, "the node refused the request",
-                                    unknown ? Outcome::Unknown : Outcome::NotRun);
-            error.peer = node.value;
-            done(error);
-        });
-}
-
-void CellLinks::onRequest(const std::string &frame, const PeerHandlers::Reply &reply)
-{
-    if (frame.size() < 2) {
-        reply(std::string{refusalFrame});
-        return;
-    }
-    const auto answer = [reply](const Result<std::string> &result) {
-        if (ok(result)) {
-            reply(answerFrame + valueOf(result));
-        } else if (errorOf(result).outcome == Outcome::Unknown) {
-            reply(std::string{refusalFrame, 'u'});
-        } else {
-            reply(std::string{refusalFrame});
-        }
-    };
-    const auto kind = static_cast<RequestKind>(frame.front());
-    const bool leads = this->replica != nullptr && this->replica->holdsLease();
-    if (kind != RequestKind::Advice && !leads && frame[1] == mayRelay) {
-        const std::optional<InstanceId> known = this->leader();
-        if (known && *known != this->ownId) {
-            std::string passedOn = frame;
-            passedOn[1] = relayed;
-            this->call(*known, passedOn, relayPatience, answer);
-            return;
-        }
-    }
-    this->serve(kind, frame.substr(2), answer);
-}
-
 void CellLinks::onFrame(const InstanceId &from, const std::string &frame)
 {
     if (frame.empty()) {
@@ -378,11 +217,13 @@
         return;
     }
     const Beacon &beacon = valueOf(decoded);
+    bool leaderChanged = false;
     {
         const std::lock_guard lock(this->mutex);
         if (beacon.term < this->hint.term) {
             return;
         }
+        leaderChanged = beacon.term > this->hint.term;
         this->lastBeacon = bytes;
         if (beacon.term != this->hint.term || beacon.keepers != this->keepers) {
             this->nextRelay = SteadyTime{};
@@ -399,18 +240,9 @@
         this->keepers = beacon.keepers;
     }
     this->updatePeers();
-}
-
-void CellLinks::onJoin(const std::string &bytes)
-{
-    const Result<JoinRequest> decoded = decodeRecord<JoinRequest>(bytes);
-    if (!ok(decoded)) {
-        spdlog::warn("event=join-not-readable {}", describe(errorOf(decoded)));
-        return;
+    if (leaderChanged) {
+        this->askNewLeader(beacon.leader);
     }
-    const std::lock_guard lock(this->mutex);
-    this->joining[valueOf(decoded).node]
-        = Joining{.disk = valueOf(decoded).disk, .askedAt = this->clock.steadyNow()};
 }
 
 void CellLinks::scheduleStep()
@@ -508,94 +340,4 @@
     }
 }
 
-void CellLinks::askToJoin(const ReplicaStatus &status)
-{
-    InstanceId leader;
-    {
-        const std::lock_guard lock(this->mutex);
-        const SteadyTime now = this->clock.steadyNow();
-        const auto counted = this->hint.voters.find(this->ownId);
-        const bool votes = counted != this->hint.voters.end() && counted->second == status.disk;
-        if (now - this->hint.heardAt >= hintLifetime || votes || now < this->nextJoin) {
-            return;
-        }
-        this->nextJoin = now + joinInterval;
-        leader = this->hint.leader;
-    }
-    this->network->send(
-        leader, joinFrame + encodeRecord(JoinRequest{.node = this->ownId, .disk = status.disk}));
-}
-
-void CellLinks::handOverWhenFull(const ReplicaStatus &status)
-{
-    {
-        const std::lock_guard lock(this->mutex);
-        if (this->handOverUnderWay || !shouldHandOver(status)) {
-            return;
-        }
-        this->handOverUnderWay = true;
-    }
-    spdlog::warn("event=disk-full term={} action=hand-over", status.term.value);
-    this->replica->transferLeadership([this](const Status &result) {
-        spdlog::info("event=leadership-handed-over done={}", ok(result));
-        const std::lock_guard lock(this->mutex);
-        this->handOverUnderWay = false;
-    });
-}
-
-void CellLinks::repairMembership(const ReplicaStatus &status)
-{
-    MembershipView view{.self = this->ownId,
-                        .membership = status.membership,
-                        .peers = status.peers,
-                        .joining = {},
-                        .target = this->settings.voters,
-                        .replaceAfter = std::chrono::milliseconds(1200),
-                        .termBegan = {},
-                        .now = this->clock.steadyNow()};
-    {
-        const std::lock_guard lock(this->mutex);
-        if (this->changeUnderWay) {
-            return;
-        }
-        view.termBegan = this->ledSince;
-        std::erase_if(this->joining, [&](const auto &entry) {
-            return view.now - entry.second.askedAt > joinLifetime;
-        });
-        for (const auto &[node, asked] : this->joining) {
-            view.joining.emplace(node, asked.disk);
-        }
-    }
-    const std::optional<MembershipStep> next = nextMembershipStep(view);
-    if (!next) {
-        return;
-    }
-    {
-        const std::lock_guard lock(this->mutex);
-        this->changeUnderWay = true;
-    }
-    spdlog::info("event=membership-change action={} node={} voters={} learners={}",
-                 static_cast<int>(next->action), next->node.value, status.membership.voters.size(),
-                 status.membership.learners.size());
-    const auto done = [this, node = next->node](const Status &result) {
-        if (!ok(result)) {
-            spdlog::info("event=membership-unchanged node={} {}", node.value,
-                         describe(errorOf(result)));
-        }
-        const std::lock_guard lock(this->mutex);
-        this->changeUnderWay = false;
-    };
-    switch (next->action) {
-    case MembershipAction::AddLearner:
-        this->replica->addLearner(next->node, done);
-        break;
-    case MembershipAction::Promote:
-        this->replica->promoteLearner(next->node, done);
-        break;
-    case MembershipAction::Remove:
-        this->replica->remove(next->node, done);
-        break;
-    }
-}
-
 } // namespace gooseberry
--- /dev/null
+++ b/libs/cluster/src/cell_membership.cpp
@@ -0,0 +1,123 @@
+// How a node with a data folder becomes a voter, and how the leader keeps the voters complete.
+
+#include <cluster/cell_links.h>
+
+#include <spdlog/spdlog.h>
+
+#include <cluster/membership_step.h>
+
+#include "cluster_records.h"
+
+namespace gooseberry {
+
+namespace {
+
+constexpr std::chrono::milliseconds joinInterval{300};
+/** A node that has not asked to join for this long no longer does. */
+constexpr std::chrono::milliseconds joinLifetime{1000};
+
+} // namespace
+
+void CellLinks::onJoin(const std::string &bytes)
+{
+    const Result<JoinRequest> decoded = decodeRecord<JoinRequest>(bytes);
+    if (!ok(decoded)) {
+        spdlog::warn("event=join-not-readable {}", describe(errorOf(decoded)));
+        return;
+    }
+    const std::lock_guard lock(this->mutex);
+    this->joining[valueOf(decoded).node]
+        = Joining{.disk = valueOf(decoded).disk, .askedAt = this->clock.steadyNow()};
+}
+
+void CellLinks::askToJoin(const ReplicaStatus &status)
+{
+    InstanceId leader;
+    {
+        const std::lock_guard lock(this->mutex);
+        const SteadyTime now = this->clock.steadyNow();
+        const auto counted = this->hint.voters.find(this->ownId);
+        const bool votes = counted != this->hint.voters.end() && counted->second == status.disk;
+        if (now - this->hint.heardAt >= hintLifetime || votes || now < this->nextJoin) {
+            return;
+        }
+        this->nextJoin = now + joinInterval;
+        leader = this->hint.leader;
+    }
+    this->network->send(
+        leader, joinFrame + encodeRecord(JoinRequest{.node = this->ownId, .disk = status.disk}));
+}
+
+void CellLinks::handOverWhenFull(const ReplicaStatus &status)
+{
+    {
+        const std::lock_guard lock(this->mutex);
+        if (this->handOverUnderWay || !shouldHandOver(status)) {
+            return;
+        }
+        this->handOverUnderWay = true;
+    }
+    spdlog::warn("event=disk-full term={} action=hand-over", status.term.value);
+    this->replica->transferLeadership([this](const Status &result) {
+        spdlog::info("event=leadership-handed-over done={}", ok(result));
+        const std::lock_guard lock(this->mutex);
+        this->handOverUnderWay = false;
+    });
+}
+
+void CellLinks::repairMembership(const ReplicaStatus &status)
+{
+    MembershipView view{.self = this->ownId,
+                        .membership = status.membership,
+                        .peers = status.peers,
+                        .joining = {},
+                        .target = this->settings.voters,
+                        .replaceAfter = std::chrono::milliseconds(1200),
+                        .termBegan = {},
+                        .now = this->clock.steadyNow()};
+    {
+        const std::lock_guard lock(this->mutex);
+        if (this->changeUnderWay) {
+            return;
+        }
+        view.termBegan = this->ledSince;
+        std::erase_if(this->joining, [&](const auto &entry) {
+            return view.now - entry.second.askedAt > joinLifetime;
+        });
+        for (const auto &[node, asked] : this->joining) {
+            view.joining.emplace(node, asked.disk);
+        }
+    }
+    const std::optional<MembershipStep> next = nextMembershipStep(view);
+    if (!next) {
+        return;
+    }
+    {
+        const std::lock_guard lock(this->mutex);
+        this->changeUnderWay = true;
+    }
+    spdlog::info("event=membership-change action={} node={} voters={} learners={}",
+                 static_cast<int>(next->action), next->node.value, status.membership.voters.size(),
+                 status.membership.learners.size());
+    const auto done = [this, node = next->node](const Status &result) {
+        if (!ok(result)) {
+            spdlog::info("event=membership-unchanged node={} {}", node.value,
+                         describe(errorOf(result)));
+        }
+        const std::lock_guard lock(this->mutex);
+        this->changeUnderWay = false;
+    };
+    switch (next->action) {
+    case MembershipAction::AddLearner:
+        this->replica->addLearner(next->node, done);
+        break;
+    case MembershipAction::Promote:
+        this->replica->promoteLearner(next->node, done);
+        break;
+    case MembershipAction::Remove:
+        this->replica->remove(next->node, done);
+        break;
+    }
+}
+
+} // namespace gooseberry
--- a/libs/cluster/src/cluster_records.h
+++ b/libs/cluster/src/cluster_records.h
@@ -8,6 +8,9 @@
 
 namespace gooseberry {
 
+/** First byte of the frame that carries a JoinRequest. */
+constexpr char joinFrame = 'j';
+
 /** What a leader tells every node that it has a link with. */
 struct Beacon
 {
--- a/libs/cluster/test/cluster_test.cpp
+++ b/libs/cluster/test/cluster_test.cpp
@@ -71,8 +71,28 @@
         this->executor->stop();
     }
 
+    /** Holds up the node's only thread, so that its links stay open and say nothing. */
+    void fallSilent()
+    {
+        this->executor->after(0ms, [this]() {
+            std::unique_lock lock(this->silenceMutex);
+            this->silenceEnds.wait(lock, [this]() { return !this->silent; });
+        });
+    }
+    void speakAgain()
+    {
+        {
+            const std::lock_guard lock(this->silenceMutex);
+            this->silent = false;
+        }
+        this->silenceEnds.notify_all();
+    }
+
     NoWorkers workers;
     NoAdviser adviser;
+    std::mutex silenceMutex;
+    std::condition_variable silenceEnds;
+    bool silent = true;
     std::unique_ptr<Executor> executor;
     std::unique_ptr<ClusterNode> node;
 };
@@ -136,6 +156,7 @@
             made.seeds.push_back(Address{.host = host(seed), .port = 1});
         }
         made.bootstrap = bootstrap;
+        made.linkSilence = this->linkSilence;
         return made;
     }
 
@@ -222,6 +243,7 @@
 
     static inline std::atomic<int> cells{0};
     SystemClock clock;
+    std::chrono::milliseconds linkSilence = NodeSettings().linkSilence;
     std::filesystem::path folder;
     std::uint16_t port = 0;
     std::map<int, std::unique_ptr<TestNode>> nodes;
@@ -264,6 +286,20 @@
     BOOST_TEST(this->read(9) == "version 1");
 }
 
+// Guards against requests that stay with a silent leader until its link counts as broken, although
+// another node leads long before.
+BOOST_AUTO_TEST_CASE(AsksTheNewLeaderWhatTheOldOneDoesNotAnswer)
+{
+    this->linkSilence = 60s;
+    this->formCell();
+    BOOST_TEST(this->put(9, 1));
+    TestNode &old = *this->nodes.at(this->leader());
+    old.fallSilent();
+    BOOST_TEST(this->put(9, 2));
+    BOOST_TEST(this->read(9) == "version 2");
+    old.speakAgain();
+}
+
 BOOST_AUTO_TEST_CASE(ReplacesALostVoterByANewNodeAtAnotherAddress)
 {
     this->formCell();
