--- /dev/null
+++ b/libs/dispatch/bench/dispatch_bench.cpp
@@ -0,0 +1,59 @@
+// Processor time of the leader's duties when a new leader finds many workflows waiting, at sizes
+// that grow in proportion, against fakes that answer at once.
+
+#include <cstdio>
+#include <ctime>
+
+#include <spdlog/spdlog.h>
+
+#include "../test/dispatch_fixture.h"
+
+using namespace gooseberry;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t tasksPerWorkflow = 3;
+
+std::chrono::duration<double, std::milli> processorTime()
+{
+    return std::chrono::duration<double>(static_cast<double>(std::clock()) / CLOCKS_PER_SEC);
+}
+
+void measure(std::size_t workers, std::size_t workflows)
+{
+    DispatchFixture cell(workers);
+    cell.put([](RoutingConfig &config) {
+        config.queues.front().advice
+            = AdviceTerms{.decision = 10ms, .perWorker = 1ms, .ticketValidity = 1500ms};
+    });
+    cell.log.leads = false;
+    for (std::size_t number = 0; number < workflows; ++number) {
+        cell.submit("workflow-" + std::to_string(number),
+                    {DispatchFixture::step(tasksPerWorkflow, 2000)});
+    }
+    cell.changeLeader();
+    cell.log.leads = true;
+    const auto before = processorTime();
+    cell.run(1000ms);
+    const auto spent = processorTime() - before;
+    std::printf("| %zu | %zu | %zu | %.1f | %.3f |\n", workers, workflows,
+                cell.workers.runningTasks(), spent.count(),
+                spent.count() / static_cast<double>(workflows));
+}
+
+} // namespace
+
+int main()
+{
+    spdlog::set_level(spdlog::level::off);
+    std::printf("New leader, each workflow of %zu tasks asks the adviser; one second of work\n",
+                tasksPerWorkflow);
+    std::printf("| workers | workflows waiting | tasks running after | processor ms | ms a workflow "
+                "|\n|---|---|---|---|---|\n");
+    measure(50, 100);
+    measure(350, 100);
+    measure(350, 400);
+    measure(350, 700);
+    return 0;
+}
--- a/libs/dispatch/include/dispatch/advice_choice.h
+++ b/libs/dispatch/include/dispatch/advice_choice.h
@@ -1,16 +1,15 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <vector>
 
-#include <base/base.h>
-
 namespace gooseberry {
 
 /** A worker that the adviser can be asked about, and how many tasks of the step fit on it now. */
 struct SeatsOfWorker
 {
-    InstanceId id;
+    std::size_t worker = 0; ///< The caller's number for the worker.
     std::uint64_t seats = 0;
 };
 
@@ -19,7 +18,7 @@
  * wanted seats and a few more, since the adviser's time grows with each worker named. Share is how
  * many of the workers asked about are probably allowed.
  */
-std::vector<InstanceId> workersForSeats(std::vector<SeatsOfWorker> workers, std::uint64_t wanted,
-                                        double share);
+std::vector<std::size_t> workersForSeats(std::vector<SeatsOfWorker> workers, std::uint64_t wanted,
+                                         double share);
 
 } // namespace gooseberry
--- a/libs/dispatch/include/dispatch/placement_choice.h
+++ b/libs/dispatch/include/dispatch/placement_choice.h
@@ -37,6 +37,8 @@
 
 /** Returns how many tasks of this size fit, as far as the seat's bound allows. */
 std::uint32_t tasksThatFit(const Seat &seat, const SeatRequest &request);
+/** The same for a worker that has so much left and none of the step's tasks. */
+std::uint32_t tasksThatFit(const Resources &free, const SeatRequest &request);
 
 /**
  * Returns the worker of each task that can be placed now: best fit, so that large tasks find room
--- a/libs/dispatch/include/dispatch/upstream_board.h
+++ b/libs/dispatch/include/dispatch/upstream_board.h
@@ -150,7 +150,7 @@
     std::size_t place(Candidate &candidate, Round &round);
     std::vector<Seat> seatsFor(const Candidate &candidate, const Round &round) const;
     void ask(Candidate &candidate, const Round &round, Effects &effects);
-    std::vector<InstanceId> workersToAsk(const Candidate &candidate, const Round &round) const;
+    std::vector<std::size_t> workersToAsk(const Candidate &candidate, const Round &round) const;
     void onAdvice(const AdviceRequest &request, const Result<AdviceReply> &result,
                   Effects &effects);
     void noteAllowedShare(const WorkflowId &id, std::size_t asked, std::size_t allowed);
--- a/libs/dispatch/src/advice_choice.cpp
+++ b/libs/dispatch/src/advice_choice.cpp
@@ -18,21 +18,21 @@
 
 } // namespace
 
-std::vector<InstanceId> workersForSeats(std::vector<SeatsOfWorker> workers, std::uint64_t wanted,
-                                        double share)
+std::vector<std::size_t> workersForSeats(std::vector<SeatsOfWorker> workers, std::uint64_t wanted,
+                                         double share)
 {
     std::stable_sort(workers.begin(), workers.end(),
                      [](const SeatsOfWorker &left, const SeatsOfWorker &right) {
                          return left.seats > right.seats;
                      });
-    std::vector<InstanceId> named;
+    std::vector<std::size_t> named;
     double expected = 0.0;
     for (const SeatsOfWorker &worker : workers) {
         const bool enough = expected >= spareSeats * static_cast<double>(wanted);
         if (named.size() >= maxNamed || (enough && named.size() >= minNamed)) {
             break;
         }
-        named.push_back(worker.id);
+        named.push_back(worker.worker);
         expected += share * static_cast<double>(worker.seats);
     }
     return named;
--- a/libs/dispatch/src/board_placement.cpp
+++ b/libs/dispatch/src/board_placement.cpp
@@ -57,8 +57,15 @@
 /** What one placement pass works on. */
 struct UpstreamBoard::Round
 {
+    /** A worker that may be given tasks, and what it had left when the pass began. */
+    struct OpenWorker
+    {
+        UpstreamWorker *worker = nullptr;
+        Resources free;
+    };
+
     SteadyTime now;
-    std::vector<UpstreamWorker *> usable;
+    std::vector<OpenWorker> usable;
     std::unordered_map<std::uint32_t, UpstreamWorker *> bySlot;
     std::vector<RunAssignment> runs;
 };
@@ -69,7 +76,7 @@
     round.now = now;
     for (auto &[id, worker] : this->workers) {
         if (this->isUsable(worker, now)) {
-            round.usable.push_back(&worker);
+            round.usable.push_back(Round::OpenWorker{.worker = &worker, .free = freeOf(worker)});
             round.bySlot.emplace(worker.slot, &worker);
         }
     }
@@ -192,8 +199,8 @@
                              .penalty = static_cast<double>(worker.failuresInRow)});
     };
     if (!candidate.advice) {
-        for (const UpstreamWorker *worker : round.usable) {
-            offer(*worker);
+        for (const Round::OpenWorker &open : round.usable) {
+            offer(*open.worker);
         }
         return seats;
     }
@@ -286,8 +293,8 @@
     return placed;
 }
 
-std::vector<InstanceId> UpstreamBoard::workersToAsk(const Candidate &candidate,
-                                                    const Round &round) const
+std::vector<std::size_t> UpstreamBoard::workersToAsk(const Candidate &candidate,
+                                                     const Round &round) const
 {
     const LiveStep &step = *candidate.step;
     const StepSpec &spec = *candidate.spec;
@@ -297,25 +304,18 @@
                           .oneRack = false,
                           .dataRack = {},
                           .maxPerWorker = spec.maxPerWorker};
-    const auto fit = [&](const UpstreamWorker &worker) -> std::uint64_t {
-        return tasksThatFit(Seat{.worker = worker.slot,
-                                 .free = freeOf(worker),
-                                 .sameStep = 0,
-                                 .rack = {},
-                                 .penalty = 0.0},
-                            one);
-    };
     std::uint64_t seatsHeld = 0;
     std::uint64_t seatsAllowed = 0;
     std::vector<SeatsOfWorker> expired;
     for (const AllowedWorker &allowed : step.allowed) {
         const auto worker = round.bySlot.find(allowed.slot);
-        const std::uint64_t seats = worker == round.bySlot.end() ? 0 : fit(*worker->second);
+        const std::uint64_t seats
+            = worker == round.bySlot.end() ? 0 : tasksThatFit(freeOf(*worker->second), one);
         seatsAllowed += seats;
         if (allowed.validUntil >= round.now + this->settings.ticketMargin) {
             seatsHeld += seats;
         } else if (seats > 0) {
-            expired.push_back(SeatsOfWorker{.id = worker->second->record.id, .seats = seats});
+            expired.push_back(SeatsOfWorker{.worker = allowed.slot, .seats = seats});
         }
     }
     const std::uint64_t wanted = spec.gang ? spec.count : step.waiting;
@@ -327,9 +327,11 @@
         return {};
     }
     std::vector<SeatsOfWorker> unknown;
-    for (const UpstreamWorker *worker : round.usable) {
-        if (!step.asked.contains(worker->slot) && this->isCapable(*worker, spec)) {
-            unknown.push_back(SeatsOfWorker{.id = worker->record.id, .seats = fit(*worker)});
+    unknown.reserve(round.usable.size());
+    for (const Round::OpenWorker &open : round.usable) {
+        if (!step.asked.contains(open.worker->slot) && this->isCapable(*open.worker, spec)) {
+            unknown.push_back(SeatsOfWorker{.worker = open.worker->slot,
+                                            .seats = tasksThatFit(open.free, one)});
         }
     }
     const auto share = this->allowedShare.find(candidate.live->queue);
@@ -346,8 +348,12 @@
     AdviceRequest request{.workflow = candidate.workflow,
                           .occurrence = candidate.occurrence,
                           .step = candidate.number,
-                          .workers = this->workersToAsk(candidate, round),
+                          .workers = {},
                           .priority = candidate.urgency.priority};
+    for (const std::size_t slot : this->workersToAsk(candidate, round)) {
+        request.workers.push_back(
+            round.bySlot.at(static_cast<std::uint32_t>(slot))->record.id);
+    }
     if (request.workers.empty()) {
         step.askAgainAt = round.now + askPause;
         return;
--- a/libs/dispatch/src/placement_choice.cpp
+++ b/libs/dispatch/src/placement_choice.cpp
@@ -68,16 +68,21 @@
 
 std::uint32_t tasksThatFit(const Seat &seat, const SeatRequest &request)
 {
-    std::uint32_t fit
-        = std::min({quotient(seat.free.cpu.value, request.size.cpu.value),
-                    quotient(seat.free.memory.value, request.size.memory.value),
-                    quotient(seat.free.accelerators.value, request.size.accelerators.value)});
-    if (request.maxPerWorker > 0) {
-        const std::uint32_t left
-            = request.maxPerWorker - std::min(request.maxPerWorker, seat.sameStep);
-        fit = std::min(fit, left);
+    const std::uint32_t fit = tasksThatFit(seat.free, request);
+    if (request.maxPerWorker == 0) {
+        return fit;
     }
-    return std::min(fit, request.count);
+    return std::min(fit, request.maxPerWorker - std::min(request.maxPerWorker, seat.sameStep));
+}
+
+std::uint32_t tasksThatFit(const Resources &free, const SeatRequest &request)
+{
+    const std::uint32_t most = request.maxPerWorker == 0
+        ? request.count
+        : std::min(request.count, request.maxPerWorker);
+    return std::min({most, quotient(free.cpu.value, request.size.cpu.value),
+                     quotient(free.memory.value, request.size.memory.value),
+                     quotient(free.accelerators.value, request.size.accelerators.value)});
 }
 
 std::vector<std::size_t> choosePlaces(const SeatRequest &request, std::vector<Seat> seats)
--- a/libs/dispatch/test/decisions_test.cpp
+++ b/libs/dispatch/test/decisions_test.cpp
@@ -127,12 +127,12 @@
 // costs the adviser's time.
 BOOST_AUTO_TEST_CASE(NamesNoMoreWorkersThanTheStepProbablyNeeds)
 {
-    constexpr int workerCount = 350;
+    constexpr std::size_t workerCount = 350;
     std::vector<SeatsOfWorker> workers;
     workers.reserve(workerCount);
-    for (int i = 0; i < workerCount; ++i) {
-        workers.push_back(SeatsOfWorker{.id = InstanceId(std::to_string(i)),
-                                        .seats = static_cast<std::uint64_t>(i % 4)});
+    for (std::size_t i = 0; i < workerCount; ++i) {
+        workers.push_back(SeatsOfWorker{.worker = i,
+                                        .seats = i % 4});
     }
     BOOST_TEST(workersForSeats(workers, 20, 0.3).size() == 90U);
     BOOST_TEST(workersForSeats(workers, 2, 0.7).size() == 12U);
