--- a/libs/cluster/src/cluster_node.cpp
+++ b/libs/cluster/src/cluster_node.cpp
@@ -15,7 +15,7 @@
 /** What a caller may be told to wait while a leader is being elected. */
 constexpr std::chrono::milliseconds electionPause{1000};
 /** A snapshot is taken when the log has grown by this; a small part of the smallest disk. */
-constexpr Bytes snapshotInterval{8LL * 1024 * 1024};
+constexpr Bytes snapshotInterval{2LL * 1024 * 1024};
 /** How long a heartbeat may wait for others before the leader is told; a part of its interval. */
 constexpr std::chrono::milliseconds heardInterval{300};
 /** How long the leader may take to hear of it. */
