--- a/libs/dispatch/include/dispatch/settings.h
+++ b/libs/dispatch/include/dispatch/settings.h
@@ -20,7 +20,7 @@
     /** The pause after a hold that brought ends, so that one call collects several. */
     std::chrono::milliseconds holdPause{40};
     /** Added to that pause for each worker, so that the calls of a large fleet stay bounded. */
-    std::chrono::microseconds holdPausePerWorker{300};
+    std::chrono::microseconds holdPausePerWorker{100};
     /** A worker not heard for this long gets nothing new; two missed heartbeats. */
     std::chrono::milliseconds silenceLimit{3500};
     /** A silent worker without runs is forgotten after this. */
