--- a/libs/dispatch/src/advice_choice.cpp
+++ b/libs/dispatch/src/advice_choice.cpp
@@ -9,10 +9,11 @@
 /** The most workers that one question may name. */
 constexpr std::size_t maxNamed = 100;
 /**
- * Others may take seats before the answer is there, and a further question costs the adviser's
- * whole decision time again, which is many times that of a worker.
+ * Others may take seats before the answer is there, a gang needs all of its seats at once, and a
+ * further question costs the adviser's whole decision time again, which is many times that of a
+ * worker.
  */
-constexpr double spareSeats = 4.0;
+constexpr double spareSeats = 8.0;
 /** With fewer, the answer is too often that none is allowed. */
 constexpr std::size_t minNamed = 12;
 
