--- a/libs/dispatch/src/board_workers.cpp
+++ b/libs/dispatch/src/board_workers.cpp
@@ -84,8 +84,7 @@
             // The order may still arrive, at the new life.
             task->run->phase = RunPhase::Uncertain;
             task->run->stopAnsweredAt.reset();
-            // The lease in the order is a time on the earlier life's clock.
-            worker.leaseOverAt = std::max(worker.leaseOverAt, now + lateOrderBound);
+            worker.lateOrdersUntil = now + lateOrderBound;
             this->wantStop(key, *task->run, effects);
         } else if (task->run->phase != RunPhase::Proposed) {
             spdlog::info("event=run-lost task={} run={} worker={} reason=worker-restarted",
@@ -453,7 +452,8 @@
             for (const auto &[key, number] : runs) {
                 LiveTask *task = this->findTask(key);
                 if (task == nullptr || !task->run || task->run->phase == RunPhase::Ending
-                    || task->run->phase == RunPhase::Proposed) {
+                    || task->run->phase == RunPhase::Proposed
+                    || (task->run->phase == RunPhase::Uncertain && now <= worker.lateOrdersUntil)) {
                     continue;
                 }
                 spdlog::info("event=run-lost task={} run={} worker={} reason=lease-over",
--- a/libs/dispatch/test/dispatch_fixture.h
+++ b/libs/dispatch/test/dispatch_fixture.h
@@ -98,6 +98,8 @@
 
     std::map<InstanceId, FakeWorker> workers;
     std::vector<std::string> violations;
+    /** The starts that got no answer and were not carried out. */
+    std::vector<std::pair<InstanceId, StartOrder>> late;
 
 private:
     WorkerTime clockNow() const;
@@ -105,7 +107,6 @@
 
     FakeTimers &timers;
     const Clock &clock;
-    std::vector<std::pair<InstanceId, StartOrder>> late;
 };
 
 /** Allows the workers that a test names, or all. */
--- a/libs/dispatch/test/dispatcher_test.cpp
+++ b/libs/dispatch/test/dispatcher_test.cpp
@@ -268,6 +268,43 @@
     BOOST_TEST(cell.workers.runningTasks() == 1U);
 }
 
+// Guards against a second run beside an order to a worker's earlier life that its next life carries
+// out late: the lease in that order is a time on a clock that has begun again.
+BOOST_AUTO_TEST_CASE(WaitsForLateOrdersAfterAWorkerHasRestartedAndFallenSilent)
+{
+    DispatchFixture cell(2);
+    cell.workers.workers[DispatchFixture::workerId(0)].muteStarts = true;
+    cell.workers.workers[DispatchFixture::workerId(1)].muteStarts = true;
+    const WorkflowId id = cell.submit("a", {DispatchFixture::step(1)});
+    cell.run(300ms);
+    const TaskKey task = DispatchFixture::task(id, 0);
+    // The order is with the worker that has made no reply to it.
+    for (std::size_t number = 0; number < 2; ++number) {
+        FakeWorker &worker = cell.workers.workers[DispatchFixture::workerId(number)];
+        worker.muteStops = true;
+        worker.lastEnd = 0;
+        cell.announce(worker.record.id, [](WorkerRecord &record) { record.life += 5s; });
+    }
+    cell.run(500ms);
+    for (auto &[worker, state] : cell.workers.workers) {
+        state.mute = true;
+    }
+    cell.run(1000ms);
+    for (auto &[worker, state] : cell.workers.workers) {
+        state.mute = false;
+        state.muteStarts = false;
+        state.muteStops = true;
+    }
+    const InstanceId holder = cell.workers.late.front().first;
+    cell.workers.workers[holder].mute = true;
+    cell.run(9000ms);
+    BOOST_TEST(cell.workers.runningTasks() == 0U);
+    cell.run(9000ms);
+    BOOST_TEST(cell.workers.runningTasks() == 1U);
+    BOOST_TEST(cell.workers.workers[holder].running.empty());
+    BOOST_TEST((workerOf(cell, task) != holder));
+}
+
 BOOST_AUTO_TEST_CASE(StartsNothingOnADrainingWorkerOrInAnEvacuatedDomain)
 {
     DispatchFixture cell(2);
