--- a/libs/cluster/src/cell_questions.cpp
+++ b/libs/cluster/src/cell_questions.cpp
@@ -119,8 +119,8 @@
         if (ok(result) || this->clock.steadyNow() + askPause >= question->deadline) {
             this->openQuestions.erase(question);
         } else {
-            this->executor.after(
-                askPause, [this, question, attempt]() { this->attempt(question, attempt); });
+            this->executor.after(askPause,
+                                 [this, question, attempt]() { this->attempt(question, attempt); });
             return;
         }
     }
@@ -145,7 +145,7 @@
 
 std::optional<InstanceId> CellLinks::nextHop(const InstanceId &askedBefore)
 {
-    const std::optional<InstanceId> known = this->leader();
+    std::optional<InstanceId> known = this->leader();
     const std::lock_guard lock(this->mutex);
     if (known && this->connected.contains(*known)) {
         return known;
--- a/libs/dispatch/bench/dispatch_bench.cpp
+++ b/libs/dispatch/bench/dispatch_bench.cpp
@@ -49,8 +49,9 @@
     spdlog::set_level(spdlog::level::off);
     std::printf("New leader, each workflow of %zu tasks asks the adviser; one second of work\n",
                 tasksPerWorkflow);
-    std::printf("| workers | workflows waiting | tasks running after | processor ms | ms a workflow "
-                "|\n|---|---|---|---|---|\n");
+    std::printf(
+        "| workers | workflows waiting | tasks running after | processor ms | ms a workflow "
+        "|\n|---|---|---|---|---|\n");
     measure(50, 100);
     measure(350, 100);
     measure(350, 400);
--- a/libs/dispatch/include/dispatch/upstream_worker.h
+++ b/libs/dispatch/include/dispatch/upstream_worker.h
@@ -51,8 +51,8 @@
     WorkerTime leaseGranted;
     SteadyTime leaseOverAt;
     /**
-     * Until then, this life may still carry out orders that were sent to an earlier one. Their lease
-     * is a time on a clock that has begun again, so it does not end them.
+     * Until then, this life may still carry out orders that were sent to an earlier one. Their
+     * lease is a time on a clock that has begun again, so it does not end them.
      */
     SteadyTime lateOrdersUntil;
     /** A hold of this term was answered, so orders of earlier leaders have no effect any more. */
--- a/libs/dispatch/src/board_placement.cpp
+++ b/libs/dispatch/src/board_placement.cpp
@@ -330,8 +330,8 @@
     unknown.reserve(round.usable.size());
     for (const Round::OpenWorker &open : round.usable) {
         if (!step.asked.contains(open.worker->slot) && this->isCapable(*open.worker, spec)) {
-            unknown.push_back(SeatsOfWorker{.worker = open.worker->slot,
-                                            .seats = tasksThatFit(open.free, one)});
+            unknown.push_back(
+                SeatsOfWorker{.worker = open.worker->slot, .seats = tasksThatFit(open.free, one)});
         }
     }
     const auto share = this->allowedShare.find(candidate.live->queue);
@@ -351,8 +351,7 @@
                           .workers = {},
                           .priority = candidate.urgency.priority};
     for (const std::size_t slot : this->workersToAsk(candidate, round)) {
-        request.workers.push_back(
-            round.bySlot.at(static_cast<std::uint32_t>(slot))->record.id);
+        request.workers.push_back(round.bySlot.at(static_cast<std::uint32_t>(slot))->record.id);
     }
     if (request.workers.empty()) {
         step.askAgainAt = round.now + askPause;
--- a/libs/dispatch/src/placement_choice.cpp
+++ b/libs/dispatch/src/placement_choice.cpp
@@ -77,9 +77,8 @@
 
 std::uint32_t tasksThatFit(const Resources &free, const SeatRequest &request)
 {
-    const std::uint32_t most = request.maxPerWorker == 0
-        ? request.count
-        : std::min(request.count, request.maxPerWorker);
+    const std::uint32_t most
+        = request.maxPerWorker == 0 ? request.count : std::min(request.count, request.maxPerWorker);
     return std::min({most, quotient(free.cpu.value, request.size.cpu.value),
                      quotient(free.memory.value, request.size.memory.value),
                      quotient(free.accelerators.value, request.size.accelerators.value)});
--- a/libs/dispatch/test/decisions_test.cpp
+++ b/libs/dispatch/test/decisions_test.cpp
@@ -131,8 +131,7 @@
     std::vector<SeatsOfWorker> workers;
     workers.reserve(workerCount);
     for (std::size_t i = 0; i < workerCount; ++i) {
-        workers.push_back(SeatsOfWorker{.worker = i,
-                                        .seats = i % 4});
+        workers.push_back(SeatsOfWorker{.worker = i, .seats = i % 4});
     }
     BOOST_TEST(workersForSeats(workers, 10, 0.3).size() == 90U);
     BOOST_TEST(workersForSeats(workers, 2, 0.7).size() == 12U);
