--- a/tests/system/harness.py
+++ b/tests/system/harness.py
@@ -56,17 +56,20 @@
 
 
 class Proxy:
-    """Forwards TCP connections to one target and can swallow either direction."""
+    """Forwards TCP connections to one target; can swallow either direction, delay and reset."""
 
-    def __init__(self, listen_host, target):
+    def __init__(self, listen_host, target, port=PEER_PORT):
         self.target = target
         self.swallow_to_target = False
         self.swallow_from_target = False
+        self.delay_seconds = 0.0
+        # Connections made in an earlier generation are closed.
+        self.generation = 0
         self.closed = False
         # Bytes on the links, for cost measurements.
         self.bytes_to_target = 0
         self.bytes_from_target = 0
-        self.server = socket.create_server((listen_host, PEER_PORT), backlog=64)
+        self.server = socket.create_server((listen_host, port), backlog=64)
         self.server.settimeout(0.2)
         threading.Thread(target=self._accept, daemon=True).start()
 
@@ -84,8 +87,11 @@
         except OSError:
             near.close()
             return
-        while not self.closed:
+        generation = self.generation
+        while not self.closed and generation == self.generation:
             readable, _, _ = select.select([near, far], [], [], 0.2)
+            if readable and self.delay_seconds > 0:
+                time.sleep(self.delay_seconds)
             try:
                 for source in readable:
                     data = source.recv(65536)
@@ -104,6 +110,16 @@
         near.close()
         far.close()
 
+    def reset_connections(self):
+        self.generation += 1
+
+    def heal(self):
+        self.swallow_to_target = False
+        self.swallow_from_target = False
+        self.delay_seconds = 0.0
+        # A connection that lost bytes must not go on.
+        self.reset_connections()
+
     def close(self):
         self.closed = True
         self.server.close()
