--- a/libs/dispatch/include/dispatch/live_work.h
+++ b/libs/dispatch/include/dispatch/live_work.h
@@ -29,6 +29,8 @@
     InstanceId worker;
     /** When the phase began. */
     SteadyTime since;
+    /** A list of the worker's life that it was meant for has named it, so it began in that life. */
+    bool listed = false;
     bool stopWanted = false;
     bool stopInFlight = false;
     /** When a stop was last sent that the worker has answered. */
--- a/libs/dispatch/src/board_workers.cpp
+++ b/libs/dispatch/src/board_workers.cpp
@@ -80,7 +80,11 @@
         if (task == nullptr || !task->run || task->run->phase == RunPhase::Ending) {
             continue;
         }
-        if (task->run->phase == RunPhase::Ordered || task->run->phase == RunPhase::Uncertain) {
+        // The answer to a start does not tell which life of the worker gave it.
+        const bool mayRunNow = task->run->phase == RunPhase::Running && !task->run->listed;
+        task->run->listed = false;
+        if (mayRunNow || task->run->phase == RunPhase::Ordered
+            || task->run->phase == RunPhase::Uncertain) {
             // The order may still arrive, at the new life.
             task->run->phase = RunPhase::Uncertain;
             task->run->stopAnsweredAt.reset();
@@ -262,6 +266,7 @@
         return false;
     }
     LiveRun &run = *task->run;
+    run.listed = true;
     run.percent = entry.percent;
     if (!entry.checkpoint.empty()) {
         run.checkpoint = entry.checkpoint;
--- a/libs/dispatch/test/dispatch_fixture.cpp
+++ b/libs/dispatch/test/dispatch_fixture.cpp
@@ -147,8 +147,9 @@
         this->timers.schedule()(answerTimeout, [done]() { done(unanswered()); });
         return;
     }
-    const StartReply reply{.verdict = worker.record.life == ref.life ? this->carryOut(worker, order)
-                                                                     : StartVerdict::OtherLife,
+    const bool meant = this->answersAnyLife || worker.record.life == ref.life;
+    const StartReply reply{.verdict
+                           = meant ? this->carryOut(worker, order) : StartVerdict::OtherLife,
                            .clock = this->clockNow()};
     this->timers.schedule()(std::chrono::milliseconds(1), [done, reply]() { done(reply); });
 }
@@ -175,7 +176,7 @@
 {
     FakeWorker &worker = this->workers[ref.id];
     ++worker.holds;
-    if (worker.mute) {
+    if (worker.mute || worker.muteHolds) {
         this->timers.schedule()(answerTimeout + order.wait, [done]() { done(unanswered()); });
         return;
     }
@@ -195,7 +196,7 @@
         = order.wait.count() > 0 ? std::chrono::milliseconds(10) : std::chrono::milliseconds(1);
     this->timers.schedule()(wait, [this, id = ref.id, done]() {
         const FakeWorker &known = this->workers[id];
-        if (known.mute) {
+        if (known.mute || known.muteHolds) {
             done(unanswered());
             return;
         }
--- a/libs/dispatch/test/dispatch_fixture.h
+++ b/libs/dispatch/test/dispatch_fixture.h
@@ -69,6 +69,7 @@
     bool mute = false;
     bool muteStarts = false;
     bool muteStops = false;
+    bool muteHolds = false;
     StartVerdict verdict = StartVerdict::Started;
     std::size_t starts = 0;
     std::size_t holds = 0;
@@ -98,6 +99,8 @@
 
     std::map<InstanceId, FakeWorker> workers;
     std::vector<std::string> violations;
+    /** Starts are carried out by whichever life a worker is in, as under an id that it keeps. */
+    bool answersAnyLife = false;
     /** The starts that got no answer and were not carried out. */
     std::vector<std::pair<InstanceId, StartOrder>> late;
 
--- a/libs/dispatch/test/dispatcher_test.cpp
+++ b/libs/dispatch/test/dispatcher_test.cpp
@@ -268,6 +268,41 @@
     BOOST_TEST(cell.workers.runningTasks() == 1U);
 }
 
+// Guards against a second run of a task whose start reached a worker just after it had restarted
+// under its old id: the answer does not tell which life carried the start out.
+BOOST_AUTO_TEST_CASE(DoesNotTakeAConfirmedRunForLostBeforeItWasListed)
+{
+    DispatchFixture cell(2);
+    cell.workers.answersAnyLife = true;
+    cell.log.held = true;
+    const WorkflowId id = cell.submit("a", {DispatchFixture::step(1)});
+    cell.run(100ms);
+    // Both workers restart while the assignment is being stored; the leader hears of it after the
+    // start was answered.
+    for (auto &[worker, state] : cell.workers.workers) {
+        state.record.life += 5s;
+        state.lastEnd = 0;
+        state.fence = Term(0);
+        state.muteHolds = true;
+    }
+    cell.run(100ms);
+    cell.log.held = false;
+    cell.log.commitHeld();
+    cell.timers.advance(5ms);
+    const TaskKey task = DispatchFixture::task(id, 0);
+    const InstanceId holder = workerOf(cell, task);
+    BOOST_REQUIRE(!holder.value.empty());
+    for (auto &[worker, state] : cell.workers.workers) {
+        state.muteHolds = false;
+    }
+    for (std::size_t number = 0; number < 2; ++number) {
+        cell.announce(DispatchFixture::workerId(number), [](WorkerRecord &) {});
+    }
+    cell.run(5000ms);
+    BOOST_TEST(cell.workers.violations.empty());
+    BOOST_TEST(cell.workers.runningTasks() == 1U);
+}
+
 // Guards against a second run beside an order to a worker's earlier life that its next life carries
 // out late: the lease in that order is a time on a clock that has begun again.
 BOOST_AUTO_TEST_CASE(WaitsForLateOrdersAfterAWorkerHasRestartedAndFallenSilent)
