Raise a worker's fencing token with each of its restarts

A run whose start got no answer is released once its worker has answered the stop and lists nothing. The worker's next incarnation knows nothing of that stop, and the token of the delayed start was the leader's term, which it accepts, so it carried the start out beside the task's next run. Change: the token of an order is the term and, within it, the number of restarts that the leader has learned of. The first lease renewal of an incarnation raises the token there, and it refuses the orders to earlier ones. A start that arrives in the moment between the restart and that renewal is still carried out; it is listed in the renewal's reply and stopped.

--- a/libs/dispatch/include/dispatch/upstream_worker.h
+++ b/libs/dispatch/include/dispatch/upstream_worker.h
@@ -72,6 +72,8 @@
      * leaders.
      */
     bool fenceConfirmed = false;
+    /** Restarts of the worker that this leader has learned of; part of its fencing token. */
+    std::uint32_t restarts = 0;
     bool renewalInFlight = false;
     bool renewalScheduled = false;
     /** The last lease renewal got no answer. */
--- a/libs/dispatch/include/dispatch/worker_orders.h
+++ b/libs/dispatch/include/dispatch/worker_orders.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -25,6 +26,16 @@
 };
 using WorkerTime = WorkerClock::time_point;
 
+/** A worker refuses an order whose token is lower than the highest that it has seen. */
+using FencingToken = StrongId<struct FencingTokenTag, std::uint64_t>;
+
+/**
+ * Returns the token of orders to one incarnation of a worker. It rises with the term of the leader
+ * and, within a term, with each restart of the worker that the leader learns of, so that a new
+ * incarnation which has seen its token refuses the delayed orders to the earlier ones.
+ */
+FencingToken fencingToken(Term term, std::uint32_t workerRestarts);
+
 /** The recipient of an order. Another incarnation of the same worker refuses the order. */
 struct WorkerRef
 {
@@ -41,7 +52,7 @@
     std::shared_ptr<const WorkflowSpec> spec;
     /** The end of the lease, which applies to all runs on the worker. */
     WorkerTime leaseEnd;
-    Term fence;
+    FencingToken fence;
     std::string checkpoint;
     /** The adviser's permission to run on this worker; empty if none is needed. */
     std::string ticket;
@@ -70,14 +81,14 @@
 {
     TaskKey task;
     RunNumber run;
-    Term fence;
+    FencingToken fence;
 };
 
 /** Renews the lease of all runs on a worker and requests a report of running and ended runs. */
 struct LeaseRenewalOrder
 {
     WorkerTime leaseEnd;
-    Term fence;
+    FencingToken fence;
     /** The leader has stored all ends up to this number; the worker may forget them. */
     std::uint64_t acknowledgedEnds = 0;
     /** How long the worker may wait for a run to end before it answers. */
--- a/libs/dispatch/src/upstream_scheduler_runs.cpp
+++ b/libs/dispatch/src/upstream_scheduler_runs.cpp
@@ -111,7 +111,7 @@
                      .spec = workflow.spec,
                      .leaseEnd
                      = earliestWorkerTime(*worker.clock, now) + this->settings.workerLease,
-                     .fence = this->term,
+                     .fence = fencingToken(this->term, worker.restarts),
                      .checkpoint = task.checkpoint,
                      .ticket = task.run->ticket};
     worker.leaseGranted = std::max(worker.leaseGranted, order.leaseEnd);
@@ -207,7 +207,8 @@
     const WorkerRef ref{.id = worker->second.record.id,
                         .address = worker->second.record.address,
                         .incarnation = worker->second.record.incarnation};
-    const StopOrder order{.task = key, .run = run.number, .fence = this->term};
+    const StopOrder order{
+        .task = key, .run = run.number, .fence = fencingToken(this->term, worker->second.restarts)};
     effects.push_back([self = this->shared_from_this(), ref, order]() {
         const auto answer = [self, ref, order](const Status &status) {
             self->runLocked([&](Effects &later) {
--- a/libs/dispatch/src/upstream_scheduler_workers.cpp
+++ b/libs/dispatch/src/upstream_scheduler_workers.cpp
@@ -79,6 +79,7 @@
     worker.fenceConfirmed = false;
     worker.failuresInRow = 0;
     worker.lastRenewalFailed = false;
+    ++worker.restarts;
     worker.avoidUntil = now;
     for (const auto &[key, number] : runs) {
         LiveTask *task = this->findTask(key);
@@ -167,7 +168,7 @@
                         .address = worker.record.address,
                         .incarnation = worker.record.incarnation};
     LeaseRenewalOrder order{.leaseEnd = WorkerTime{},
-                            .fence = this->term,
+                            .fence = fencingToken(this->term, worker.restarts),
                             .acknowledgedEnds = highestAcknowledgeableEnd(worker),
                             .wait = worker.fenceConfirmed && worker.clock && !worker.runs.empty()
                                 ? this->settings.renewalWait
--- a/libs/dispatch/src/upstream_worker.cpp
+++ b/libs/dispatch/src/upstream_worker.cpp
@@ -4,6 +4,22 @@
 
 namespace gooseberry {
 
+namespace {
+
+/**
+ * Restarts of one worker that the tokens of one term tell apart. The token stays below 2^53, which
+ * JSON numbers hold exactly, up to term 2^41.
+ */
+constexpr std::uint64_t restartsPerTerm = 4096;
+
+} // namespace
+
+FencingToken fencingToken(Term term, std::uint32_t workerRestarts)
+{
+    return FencingToken(term.value * restartsPerTerm
+                        + std::min<std::uint64_t>(workerRestarts, restartsPerTerm - 1));
+}
+
 WorkerTime earliestWorkerTime(const ClockReading &reading, SteadyTime now)
 {
     const auto elapsed = std::max(now - reading.at, Duration::zero());
--- a/libs/dispatch/test/dispatch_fixture.h
+++ b/libs/dispatch/test/dispatch_fixture.h
@@ -61,7 +61,7 @@
     std::map<TaskKey, RunNumber> running;
     std::vector<EndedEntry> ended;
     std::map<TaskKey, RunNumber> refusedRuns;
-    Term fence;
+    FencingToken fence;
     WorkerTime leaseEnd;
     std::uint64_t lastEnd = 0;
     std::uint64_t acknowledged = 0;
--- a/libs/dispatch/test/dispatcher_test.cpp
+++ b/libs/dispatch/test/dispatcher_test.cpp
@@ -265,7 +265,7 @@
     FakeWorker &worker = cell.workers.workers[restarted];
     worker.running.clear();
     worker.lastEnd = 0;
-    worker.fence = Term(0);
+    worker.fence = FencingToken(0);
     worker.refusedRuns.clear();
     cell.announce(restarted, [](WorkerRecord &record) { record.incarnation += 5s; });
     cell.run(500ms);
@@ -286,7 +286,7 @@
     for (auto &[worker, state] : cell.workers.workers) {
         state.record.incarnation += 5s;
         state.lastEnd = 0;
-        state.fence = Term(0);
+        state.fence = FencingToken(0);
         state.renewalsUnanswered = true;
     }
     cell.run(100ms);
@@ -307,6 +307,36 @@
     BOOST_TEST(cell.workers.runningTasks() == 1U);
 }
 
+// Guards against a second run when a run was released, after its worker had answered the stop and
+// listed nothing, and the worker's next incarnation then carries out the delayed start: it knows
+// nothing of the stop, but it refuses orders below the fencing token of its own lease renewals.
+BOOST_AUTO_TEST_CASE(ANewIncarnationRefusesTheDelayedStartOfAReleasedRun)
+{
+    DispatchFixture cell(2);
+    for (auto &[worker, state] : cell.workers.workers) {
+        state.startsUnanswered = true;
+    }
+    const WorkflowId id = cell.submit("a", {DispatchFixture::step(1)});
+    cell.run(300ms);
+    BOOST_REQUIRE(!cell.workers.delayedStarts.empty());
+    const InstanceId first = cell.workers.delayedStarts.front().first;
+    for (auto &[worker, state] : cell.workers.workers) {
+        state.startsUnanswered = worker == first;
+    }
+    cell.run(3000ms);
+    const TaskKey task = DispatchFixture::task(id, 0);
+    BOOST_REQUIRE(!workerRunning(cell, task).value.empty());
+    FakeWorker &restarted = cell.workers.workers[first];
+    restarted.refusedRuns.clear();
+    restarted.lastEnd = 0;
+    restarted.fence = FencingToken(0);
+    cell.announce(first, [](WorkerRecord &record) { record.incarnation += 5s; });
+    cell.run(500ms);
+    cell.workers.deliverDelayedStarts();
+    BOOST_TEST(cell.workers.violations.empty());
+    BOOST_TEST(cell.workers.runningTasks() == 1U);
+}
+
 // Guards against a second run while the next incarnation of a worker may still carry out a delayed
 // start that was sent to an earlier one: the lease end in that start is a time on the worker's
 // clock, which restarts with the worker.
@@ -469,7 +499,7 @@
     cell.log.leads = true;
     cell.run(1000ms);
     for (const auto &[id, worker] : cell.workers.workers) {
-        BOOST_TEST(worker.fence.value == 2U);
+        BOOST_TEST((worker.fence == fencingToken(Term(2), 0)));
     }
 }
 
