Run the links between nodes on a thread of their own

The messages of the log's replicas were read and written by the thread that also places tasks, takes a term over and serves workers, so a leader whose own work took longer than its lease of 350 ms lost its term, and the next one began with more to do. Change: CellLinks runs its network on an executor of its own and passes requests and replies on to the node's executor. A leader whose executor runs nothing for 3 s hands over, since its lease now goes on without it. Measured: the new test keeps the work thread busy for 1.5 s; the leader and its term stay.

--- a/libs/cluster/include/cluster/cell_links.h
+++ b/libs/cluster/include/cluster/cell_links.h
@@ -36,7 +36,11 @@
 class CellLinks : public ReplicaTransport
 {
 public:
-    CellLinks(Executor &initialExecutor, const Clock &initialClock,
+    /**
+     * The links run on linkExecutor, so that messages of the log's replicas are never behind the
+     * work on executor, which carries all requests and replies.
+     */
+    CellLinks(Executor &initialExecutor, Executor &initialLinkExecutor, const Clock &initialClock,
               const NodeSettings &initialSettings, RequestHandler initialServe);
 
     /** Sets the replica of this node, if it has one. Must be called before start(). */
@@ -81,6 +85,7 @@
     /** Resends to a new leader what waits for another node's reply, which may never come. */
     void retryWithNewLeader(const InstanceId &leader);
     void onRequest(const std::string &frame, const PeerHandlers::Reply &reply);
+    void serveFrame(const std::string &frame, const PeerHandlers::Reply &reply);
     void callPeer(const InstanceId &node, const std::string &frame,
                   std::chrono::milliseconds timeout, std::function<void(Result<std::string>)> done);
     /**
@@ -95,6 +100,8 @@
     void relayBeacon();
     void scheduleStep();
     void step();
+    /** Hands leadership over when the executor has run no step for too long. */
+    void watchExecutor();
     void sendBeacons(const ReplicaStatus &status);
     void updatePeers();
 
@@ -120,6 +127,7 @@
     };
 
     Executor &executor;
+    Executor &linkExecutor;
     const Clock &clock;
     const NodeSettings settings;
     const InstanceId ownId;
@@ -129,6 +137,8 @@
 
     mutable std::mutex mutex; ///< Guards the members below.
     bool stopped = false;
+    /** When the executor last ran step(). */
+    SteadyTime lastStepAt;
     std::set<std::shared_ptr<PendingRequest>> pendingRequests;
     std::set<InstanceId> seedIds;
     std::set<InstanceId> logReplicas;
--- a/libs/cluster/include/cluster/cluster_node.h
+++ b/libs/cluster/include/cluster/cluster_node.h
@@ -64,6 +64,8 @@
     AdviserAccess &adviser;
     WorkflowState state;
     NodeMetrics nodeMetrics;
+    /** Runs the links to other nodes only; see CellLinks. */
+    Executor linkExecutor{1};
     CellLinks links;
     AdviceRouter router;
     WorkflowLog log;
--- a/libs/cluster/src/cell_links.cpp
+++ b/libs/cluster/src/cell_links.cpp
@@ -19,6 +19,12 @@
 /** How often a node with a log replica runs step(); a fraction of the replica's lease. */
 constexpr std::chrono::milliseconds stepInterval{100};
 constexpr std::chrono::milliseconds stepIntervalWithoutLog{500};
+constexpr std::chrono::milliseconds watchInterval{500};
+/**
+ * A leader whose executor has run nothing for this long serves no caller although its lease goes
+ * on. Longer than any step of work that only waits for the processor.
+ */
+constexpr std::chrono::milliseconds maxExecutorStall{3000};
 /** A node without a log learns of a new leader within this and its links' silence limit. */
 constexpr std::chrono::milliseconds beaconInterval{250};
 /** Relayed beacons only let a node find the leader, which then sends its own. */
@@ -39,9 +45,11 @@
 
 } // namespace
 
-CellLinks::CellLinks(Executor &initialExecutor, const Clock &initialClock,
-                     const NodeSettings &initialSettings, RequestHandler initialServe)
+CellLinks::CellLinks(Executor &initialExecutor, Executor &initialLinkExecutor,
+                     const Clock &initialClock, const NodeSettings &initialSettings,
+                     RequestHandler initialServe)
     : executor(initialExecutor)
+    , linkExecutor(initialLinkExecutor)
     , clock(initialClock)
     , settings(initialSettings)
     , ownId(peerId(peerAddress(initialSettings.host, initialSettings.peerPort)))
@@ -72,8 +80,8 @@
             this->retryWithNewLeader(peer);
         }
     };
-    this->network = std::make_unique<PeerNetwork>(this->executor, networkSettings(this->settings),
-                                                  std::move(handlers));
+    this->network = std::make_unique<PeerNetwork>(
+        this->linkExecutor, networkSettings(this->settings), std::move(handlers));
 }
 
 void CellLinks::setReplica(Replica *initialReplica)
@@ -95,6 +103,9 @@
     }
     this->setSeeds(this->settings.seeds);
     this->scheduleStep();
+    if (this->replica != nullptr) {
+        this->watchExecutor();
+    }
     return Done{};
 }
 
@@ -256,12 +267,35 @@
                                  if (this->stopped) {
                                      return;
                                  }
+                                 this->lastStepAt = this->clock.steadyNow();
                              }
                              this->step();
                              this->scheduleStep();
                          });
 }
 
+void CellLinks::watchExecutor()
+{
+    this->linkExecutor.after(watchInterval, [this]() {
+        bool stalled = false;
+        {
+            const std::lock_guard lock(this->mutex);
+            if (this->stopped) {
+                return;
+            }
+            stalled = this->lastStepAt != SteadyTime{}
+                && this->clock.steadyNow() - this->lastStepAt > maxExecutorStall;
+        }
+        if (stalled && this->replica->holdsLease()) {
+            spdlog::error("event=executor-stalled limit={}ms", maxExecutorStall.count());
+            this->replica->transferLeadership([](const Status &result) {
+                spdlog::info("event=leadership-handed-over done={}", ok(result));
+            });
+        }
+        this->watchExecutor();
+    });
+}
+
 void CellLinks::step()
 {
     if (this->replica == nullptr) {
--- a/libs/cluster/src/cell_requests.cpp
+++ b/libs/cluster/src/cell_requests.cpp
@@ -182,8 +182,16 @@
                          std::chrono::milliseconds timeout,
                          std::function<void(Result<std::string>)> done)
 {
+    // Replies are handled on the executor, since a handler may wait for a lock or work for long.
+    const auto onExecutor = [this](auto handler) {
+        return [this, handler = std::move(handler)](Result<std::string> result) {
+            this->executor.post(
+                [handler, result = std::move(result)]() mutable { handler(result); });
+        };
+    };
     this->network->call(
-        node, frame, timeout, [done = std::move(done), node](const Result<std::string> &result) {
+        node, frame, timeout,
+        onExecutor([done = std::move(done), node](const Result<std::string> &result) {
             if (!ok(result)) {
                 done(errorOf(result));
                 return;
@@ -198,10 +206,15 @@
                                     unknown ? Outcome::Unknown : Outcome::NotRun);
             error.peer = node.value;
             done(error);
-        });
+        }));
 }
 
 void CellLinks::onRequest(const std::string &frame, const PeerHandlers::Reply &reply)
+{
+    this->executor.post([this, frame, reply]() { this->serveFrame(frame, reply); });
+}
+
+void CellLinks::serveFrame(const std::string &frame, const PeerHandlers::Reply &reply)
 {
     if (frame.size() < 2) {
         reply(std::string{refusalFrame});
--- a/libs/cluster/src/cluster_node.cpp
+++ b/libs/cluster/src/cluster_node.cpp
@@ -83,7 +83,7 @@
     , executor(initialExecutor)
     , adviser(initialAdviser)
     , state(this->settings.retention)
-    , links(initialExecutor, initialClock, this->settings,
+    , links(initialExecutor, this->linkExecutor, initialClock, this->settings,
             [this](RequestKind kind, const std::string &request,
                    std::function<void(Result<std::string>)> done) {
                 this->serve(kind, request, std::move(done));
@@ -141,6 +141,7 @@
 {
     this->stopping = true;
     this->links.stop();
+    this->linkExecutor.stop();
     if (this->replica) {
         this->replica->stop();
     }
--- a/libs/cluster/test/cluster_test.cpp
+++ b/libs/cluster/test/cluster_test.cpp
@@ -310,6 +310,25 @@
 {
     this->formCell();
     BOOST_TEST(this->put(9, 1));
+// Guards against a leader that loses its term because its own work delays the messages of the log's
+// replicas: a takeover with many workflows kept the thread busy for longer than the lease, so that
+// each new leader lost its term as well.
+BOOST_AUTO_TEST_CASE(KeepsItsTermWhileItsWorkTakesLongerThanTheLease)
+{
+    this->formCell();
+    BOOST_TEST(this->put(9, 1));
+    const int leads = this->leader();
+    const double term = this->metric(leads, "gooseberrylead_term");
+    TestNode &busy = *this->nodes.at(leads);
+    busy.blockThread();
+    std::this_thread::sleep_for(1500ms);
+    BOOST_TEST(this->leader() == leads);
+    BOOST_TEST(this->metric(leads, "gooseberrylead_term") == term);
+    busy.unblockThread();
+    BOOST_TEST(this->put(9, 2));
+    BOOST_TEST(this->metric(leads, "gooseberrylead_term") == term);
+}
+
     const int lost = this->leader() == 2 ? 3 : 2;
     this->nodes.erase(lost);
     this->startReplica(6, false);
