Split the descriptors by use and do not blame workers for a shortage of the leader's

Cause: on the large site a burst took all 4,324 descriptors of the leader, since orders alone could open four connections to each of 1,100 workers. The leader took its failed orders for silence of the workers and avoided 600 to 730 a second, until too few were left. HttpClient shares its part among all addresses: a request beyond it takes the place of the connection that was idle for longest, or waits. attributeOrderFailure tells the sender's own shortage and failures of most workers at once from the failure of one worker.

--- a/libs/cluster/include/cluster/node_settings.h
+++ b/libs/cluster/include/cluster/node_settings.h
@@ -8,6 +8,7 @@
 
 #include <base/base.h>
 #include <dispatch/dispatch.h>
+#include <policy/policy.h>
 
 namespace gooseberry {
 
@@ -49,6 +50,8 @@
     /** "trace", "debug", "info", "warn" or "error". */
     std::string logLevel{"info"};
     unsigned threads = 1;
+    /** The limit of open descriptors; 0 takes that of the process, of which it can't be more. */
+    std::size_t descriptorLimit = 0;
     DispatchSettings dispatch;
 };
 
@@ -59,6 +62,9 @@
 Result<NodeSettings> readNodeSettings(const std::filesystem::path &file);
 Result<NodeSettings> parseNodeSettings(const std::string &text, const std::string &fileName);
 
+/** Splits the descriptors of this process by the uses that the settings name. */
+Result<DescriptorBudget> descriptorBudget(const NodeSettings &settings);
+
 /** Returns the address at which other nodes reach this host. */
 Address peerAddress(const std::string &host, std::uint16_t peerPort);
 /** Returns the id of a node within the cell, which is its address as text. */
--- a/libs/cluster/src/node_settings.cpp
+++ b/libs/cluster/src/node_settings.cpp
@@ -1,5 +1,8 @@
 #include <cluster/node_settings.h>
 
+#include <sys/resource.h>
+
+#include <algorithm>
 #include <array>
 #include <fstream>
 #include <sstream>
@@ -13,6 +16,7 @@
 constexpr std::int64_t maxThreads = 64;
 constexpr std::int64_t maxPort = 65'535;
 constexpr std::int64_t maxVoters = 9;
+constexpr std::int64_t maxDescriptors = 1 << 20;
 /** A lease must span several heartbeats of a few round trips each. */
 constexpr std::int64_t minLeaseMillis = 50;
 constexpr std::int64_t maxMillis = 24LL * 3600 * 1000;
@@ -52,6 +56,8 @@
         settings.voters
             = static_cast<std::uint32_t>(this->reader.integer("voters", 5, 1, maxVoters));
         settings.threads = static_cast<unsigned>(this->reader.integer("threads", 1, 1, maxThreads));
+        settings.descriptorLimit = static_cast<std::size_t>(
+            this->reader.integer("descriptorLimit", 0, 0, maxDescriptors));
         settings.leaderLease = std::chrono::milliseconds(this->reader.integer(
             "leaderLeaseMillis", settings.leaderLease.count(), minLeaseMillis, maxMillis));
         settings.linkSilence = std::chrono::milliseconds(this->reader.integer(
@@ -163,6 +169,21 @@
     return parseNodeSettings(text.str(), file.string());
 }
 
+Result<DescriptorBudget> descriptorBudget(const NodeSettings &settings)
+{
+    rlimit process{};
+    std::size_t limit = static_cast<std::size_t>(maxDescriptors);
+    if (::getrlimit(RLIMIT_NOFILE, &process) == 0 && process.rlim_cur != RLIM_INFINITY) {
+        limit = std::min<std::size_t>(limit, process.rlim_cur);
+    }
+    if (settings.descriptorLimit > 0) {
+        limit = std::min(limit, settings.descriptorLimit);
+    }
+    return splitDescriptors(limit,
+                            DescriptorDemand{.servesCallers = settings.listenCallers.has_value(),
+                                             .servesControl = settings.listenControl.has_value()});
+}
+
 Address peerAddress(const std::string &host, std::uint16_t peerPort)
 {
     return Address{.host = host, .port = peerPort};
--- a/libs/dispatch/include/dispatch/upstream_scheduler.h
+++ b/libs/dispatch/include/dispatch/upstream_scheduler.h
@@ -18,6 +18,7 @@
 #include <dispatch/upstream_worker.h>
 #include <dispatch/worker_orders.h>
 
+#include <policy/policy.h>
 namespace gooseberry {
 
 /** The services of the process that a scheduler uses. The references must outlive the scheduler. */
@@ -162,6 +163,8 @@
     /** Marks the task, or all tasks of its gang, as done after the run has succeeded. */
     void completeTask(const TaskKey &key, RunNumber run, Effects &effects);
     /** Places no tasks on the worker for this time. */
+    /** Returns whether the failed order counts against the worker, and records the failure. */
+    OrderFailure recordOrderFailure(const UpstreamWorker &worker, const Error &error);
     void avoidWorker(UpstreamWorker &worker, Duration time, const char *reason);
     void recordWorkerFailure(UpstreamWorker &worker, const TaskKey &key);
 
@@ -216,6 +219,8 @@
      * Workflows that may have become removable. They are removed at the end of an operation, since
      * the operation may still use them.
      */
+    /** Workers with a failed order, and when the last one failed; older entries are removed. */
+    std::map<InstanceId, SteadyTime> recentOrderFailures;
     std::set<WorkflowId> possiblyFinished;
     std::set<FailureDomainId> evacuatedDomains;
     std::shared_ptr<const RoutingConfig> config;
--- a/libs/dispatch/src/upstream_scheduler_runs.cpp
+++ b/libs/dispatch/src/upstream_scheduler_runs.cpp
@@ -19,8 +19,12 @@
 constexpr std::chrono::milliseconds maxAvoidance{6000};
 /** Consecutive failures, of different workflows, after which the worker itself is suspected. */
 constexpr std::uint32_t failuresBeforeAvoidance = 2;
+/** Orders that failed within this time may have a shared cause; about one order timeout. */
+constexpr std::chrono::milliseconds recentFailureWindow{1000};
 /** Delay before a failed task runs again, so that another worker is tried. */
 constexpr std::chrono::milliseconds failedTaskDelay{100};
+/** Delay before a task whose start could not be sent is placed again. */
+constexpr std::chrono::milliseconds unsentStartDelay{50};
 /** Delay before a stop that got no answer is sent again. */
 constexpr std::chrono::milliseconds stopRetryDelay{300};
 
@@ -169,16 +173,25 @@
                      id.value, gooseberry::describe(errorOf(result)));
         task->run->phase = RunPhase::OutcomeUnknown;
         task->run->since = this->context.clock.steadyNow();
-        this->avoidWorker(worker->second, initialAvoidance, "start-unanswered");
+        if (this->recordOrderFailure(worker->second, errorOf(result)) == OrderFailure::Worker) {
+            this->avoidWorker(worker->second, initialAvoidance, "start-unanswered");
+        }
         this->requestStop(key, *task->run, effects);
         this->stopGang(key, run, effects);
         return;
     }
+    if (!ok(result)) {
+        // What kept the order from being sent probably goes on for a moment.
+        task->notBefore = this->context.clock.steadyNow() + unsentStartDelay;
+    }
     const char *reason = ok(result) ? describe(valueOf(result).result) : "not-sent";
     spdlog::info("event=start-refused task={} run={} worker={} reason={}", toString(key), run.value,
                  id.value, reason);
-    if (!ok(result) || valueOf(result).result == StartResult::Unhealthy
-        || valueOf(result).result == StartResult::NoCapacity) {
+    const bool workerFailed = ok(result)
+        ? valueOf(result).result == StartResult::Unhealthy
+            || valueOf(result).result == StartResult::NoCapacity
+        : this->recordOrderFailure(worker->second, errorOf(result)) == OrderFailure::Worker;
+    if (workerFailed) {
         this->avoidWorker(worker->second, initialAvoidance, reason);
     }
     if (ok(result) && valueOf(result).result == StartResult::NoTicket) {
@@ -349,6 +362,22 @@
     }
 }
 
+OrderFailure UpstreamScheduler::recordOrderFailure(const UpstreamWorker &worker, const Error &error)
+{
+    const SteadyTime now = this->context.clock.steadyNow();
+    std::erase_if(this->recentOrderFailures,
+                  [now](const auto &entry) { return now - entry.second > recentFailureWindow; });
+    this->recentOrderFailures[worker.record.id] = now;
+    const OrderFailure failure
+        = attributeOrderFailure(error,
+                                RecentOrders{.workersUsable = this->workers.size(),
+                                             .workersFailed = this->recentOrderFailures.size()});
+    if (failure == OrderFailure::Sender) {
+        this->recentOrderFailures.erase(worker.record.id);
+    }
+    return failure;
+}
+
 void UpstreamScheduler::avoidWorker(UpstreamWorker &worker, Duration time, const char *reason)
 {
     const SteadyTime until = this->context.clock.steadyNow() + time;
--- a/libs/dispatch/src/upstream_scheduler_workers.cpp
+++ b/libs/dispatch/src/upstream_scheduler_workers.cpp
@@ -232,9 +232,13 @@
         return;
     }
     if (!ok(result)) {
-        worker.lastRenewalFailed = true;
+        const OrderFailure failure = this->recordOrderFailure(worker, errorOf(result));
         spdlog::info("event=hold-unanswered worker={} {}", id.value, describe(errorOf(result)));
-        this->avoidWorker(worker, this->settings.renewalWait, "hold-unanswered");
+        // A renewal that was never sent leaves the worker's lease as it was.
+        worker.lastRenewalFailed = worker.lastRenewalFailed || failure != OrderFailure::Sender;
+        if (failure == OrderFailure::Worker) {
+            this->avoidWorker(worker, this->settings.renewalWait, "hold-unanswered");
+        }
         renewAfter(renewalRetryDelay);
         return;
     }
--- a/libs/dispatch/test/dispatch_fixture.cpp
+++ b/libs/dispatch/test/dispatch_fixture.cpp
@@ -142,6 +142,11 @@
                         std::function<void(Result<StartReply>)> done)
 {
     FakeWorker &worker = this->workers[ref.id];
+    if (this->sendFailure) {
+        this->timers.schedule()(std::chrono::milliseconds(1),
+                                [done, failure = *this->sendFailure]() { done(failure); });
+        return;
+    }
     if (worker.unresponsive || worker.startsUnanswered) {
         this->delayedStarts.emplace_back(ref.id, order);
         this->timers.schedule()(answerTimeout, [done]() { done(unanswered()); });
--- a/libs/dispatch/test/dispatch_fixture.h
+++ b/libs/dispatch/test/dispatch_fixture.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -104,6 +105,8 @@
 
     std::map<InstanceId, FakeWorker> workers;
     std::vector<std::string> violations;
+    /** If set, no start is sent and each fails with this error. */
+    std::optional<Error> sendFailure;
     /** Any incarnation carries out a start, as a worker does that restarts under the same id. */
     bool acceptsAnyIncarnation = false;
     /** Starts that got no answer and are not carried out yet. */
--- a/libs/dispatch/test/dispatcher_test.cpp
+++ b/libs/dispatch/test/dispatcher_test.cpp
@@ -616,3 +616,22 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+// Guards against a leader that takes its own shortage for a fault of the workers: in a burst it ran
+// out of descriptors, avoided hundreds of workers a second and had none left to place tasks on.
+BOOST_AUTO_TEST_CASE(DoesNotAvoidWorkersForAShortageOfItsOwn)
+{
+    DispatchFixture cell(4);
+    cell.workers.sendFailure = Error{.code = ErrorCode::Overloaded,
+                                     .step = Step::Send,
+                                     .peer = {},
+                                     .message = "Too many open files",
+                                     .outcome = Outcome::NotRun};
+    cell.submit("a", {DispatchFixture::step(32)});
+    cell.run(100ms);
+    BOOST_TEST(cell.workers.runningTasks() == 0U);
+    cell.workers.sendFailure.reset();
+    cell.run(100ms);
+    BOOST_TEST(cell.workers.runningTasks() == 32U);
+    BOOST_TEST(cell.workers.violations.empty());
+}
+
--- a/libs/link/src/connection_pool.cpp
+++ b/libs/link/src/connection_pool.cpp
@@ -52,7 +52,7 @@
     return this->shards[hash % shardCount];
 }
 
-std::shared_ptr<PooledConnection> ConnectionPool::takeIdle(AddressPool &pool)
+std::shared_ptr<PooledConnection> ConnectionPool::takeIdle(AddressPool &pool, std::size_t &closed)
 {
     while (!pool.idle.empty()) {
         std::shared_ptr<PooledConnection> connection = std::move(pool.idle.back());
@@ -61,25 +61,156 @@
             return connection;
         }
         --pool.open;
+        ++closed;
     }
     return nullptr;
 }
 
+bool ConnectionPool::tryTakeSlot()
+{
+    const std::lock_guard lock(this->slotMutex);
+    if (this->usedSlots >= this->limits.maxConnections) {
+        return false;
+    }
+    ++this->usedSlots;
+    this->peakSlots = std::max(this->peakSlots, this->usedSlots);
+    return true;
+}
+
+bool ConnectionPool::closeLeastRecentlyUsed()
+{
+    std::size_t first = 0;
+    {
+        const std::lock_guard lock(this->slotMutex);
+        first = this->nextSearchedShard++;
+    }
+    for (std::size_t offset = 0; offset < shardCount; ++offset) {
+        Shard &shard = this->shards[(first + offset) % shardCount];
+        const std::lock_guard lock(shard.mutex);
+        auto oldest = shard.addressPools.end();
+        for (auto pool = shard.addressPools.begin(); pool != shard.addressPools.end(); ++pool) {
+            if (!pool->second.idle.empty()
+                && (oldest == shard.addressPools.end()
+                    || pool->second.idle.front()->lastUsedAt
+                        < oldest->second.idle.front()->lastUsedAt)) {
+                oldest = pool;
+            }
+        }
+        if (oldest != shard.addressPools.end()) {
+            AddressPool &pool = oldest->second;
+            pool.idle.erase(pool.idle.begin());
+            if (--pool.open == 0) {
+                shard.addressPools.erase(oldest);
+            }
+            return true;
+        }
+    }
+    return false;
+}
+
+void ConnectionPool::acquireSlot(const Address &address, SteadyTime deadline,
+                                 AcquireCallback callback)
+{
+    if (this->tryTakeSlot() || this->closeLeastRecentlyUsed()) {
+        callback(std::make_shared<PooledConnection>(this->context));
+        return;
+    }
+    const auto waiter = std::make_shared<SlotWaiter>();
+    waiter->address = address;
+    waiter->callback = std::move(callback);
+    waiter->timer = std::make_shared<asio::steady_timer>(this->context, deadline);
+    waiter->timer->async_wait([self = this->shared_from_this(),
+                               weak = std::weak_ptr<SlotWaiter>(waiter)](BoostError error) {
+        if (const auto expired = weak.lock(); !error && expired != nullptr) {
+            self->onSlotTimeout(expired);
+        }
+    });
+    {
+        const std::lock_guard lock(this->slotMutex);
+        this->slotWaiters.push_back(waiter);
+    }
+    // A connection may have become idle, and none closed, since the search.
+    if (this->closeLeastRecentlyUsed()) {
+        this->releaseSlots(1);
+    }
+}
+
+void ConnectionPool::releaseSlots(std::size_t count)
+{
+    std::vector<std::shared_ptr<SlotWaiter>> served;
+    {
+        const std::lock_guard lock(this->slotMutex);
+        for (; count > 0; --count) {
+            if (this->slotWaiters.empty()) {
+                this->usedSlots -= std::min<std::size_t>(this->usedSlots, 1);
+            } else {
+                served.push_back(std::move(this->slotWaiters.front()));
+                this->slotWaiters.pop_front();
+            }
+        }
+    }
+    for (const auto &waiter : served) {
+        waiter->timer->cancel();
+        waiter->callback(std::make_shared<PooledConnection>(this->context));
+    }
+}
+
+void ConnectionPool::onSlotTimeout(const std::shared_ptr<SlotWaiter> &expired)
+{
+    {
+        const std::lock_guard lock(this->slotMutex);
+        if (std::erase(this->slotWaiters, expired) == 0) {
+            return;
+        }
+    }
+    std::shared_ptr<Waiter> next;
+    {
+        Shard &shard = this->shardOf(expired->address);
+        const std::lock_guard lock(shard.mutex);
+        const auto found = shard.addressPools.find(expired->address);
+        if (found != shard.addressPools.end()) {
+            AddressPool &pool = found->second;
+            if (!pool.waiters.empty()) {
+                next = std::move(pool.waiters.front());
+                pool.waiters.pop_front();
+            } else if (--pool.open == 0) {
+                shard.addressPools.erase(found);
+            }
+        }
+    }
+    if (next != nullptr) {
+        const SteadyTime deadline = next->timer->expiry();
+        next->timer->cancel();
+        this->acquireSlot(expired->address, deadline, std::move(next->callback));
+    }
+    expired->callback(acquireError(ErrorCode::Overloaded, expired->address,
+                                   "all connections that this process may open are in use"));
+}
+
+HttpClientUsage ConnectionPool::usage() const
+{
+    const std::lock_guard lock(this->slotMutex);
+    return HttpClientUsage{.openConnections = this->usedSlots,
+                           .peakConnections = this->peakSlots,
+                           .waitingRequests = this->slotWaiters.size()};
+}
+
 void ConnectionPool::acquire(const Address &address, SteadyTime deadline, AcquireCallback callback)
 {
     std::shared_ptr<PooledConnection> connection;
     bool queueFull = false;
+    bool needsSlot = false;
+    std::size_t closed = 0;
     {
         Shard &shard = this->shardOf(address);
         const std::lock_guard lock(shard.mutex);
         AddressPool &pool = shard.addressPools[address];
-        connection = takeIdle(pool);
-        if (connection == nullptr && pool.open < this->limits.maxConnectionsPerAddress) {
-            ++pool.open;
-            connection = std::make_shared<PooledConnection>(this->context);
-        }
-        queueFull = connection == nullptr && pool.waiters.size() >= this->limits.maxPendingRequests;
-        if (connection == nullptr && !queueFull) {
+        connection = takeIdle(pool, closed);
+        needsSlot = connection == nullptr && pool.open < this->limits.maxConnectionsPerAddress;
+        pool.open += needsSlot ? 1 : 0;
+        queueFull = connection == nullptr && !needsSlot
+            && pool.waiters.size() >= this->limits.maxPendingRequests;
+        if (connection == nullptr && !needsSlot && !queueFull) {
             auto waiter = std::make_shared<Waiter>();
             waiter->callback = std::move(callback);
             waiter->timer = std::make_shared<asio::steady_timer>(this->context, deadline);
@@ -88,12 +219,17 @@
             return;
         }
     }
+    if (closed > 0) {
+        this->releaseSlots(closed);
+    }
     if (queueFull) {
         callback(acquireError(ErrorCode::Overloaded, address,
                               "too many requests are waiting for a connection to this address"));
-        return;
+    } else if (needsSlot) {
+        this->acquireSlot(address, deadline, std::move(callback));
+    } else {
+        callback(std::move(connection));
     }
-    callback(std::move(connection));
 }
 
 void ConnectionPool::startDeadlineTimer(const Address &address, SteadyTime deadline,
@@ -131,7 +267,13 @@
         connection->reused = true;
         connection->lastUsedAt = std::chrono::steady_clock::now();
     }
+    bool slotsWanted = false;
+    {
+        const std::lock_guard lock(this->slotMutex);
+        slotsWanted = !this->slotWaiters.empty();
+    }
     std::shared_ptr<Waiter> next;
+    bool slotFree = false;
     {
         Shard &shard = this->shardOf(address);
         const std::lock_guard lock(shard.mutex);
@@ -142,13 +284,20 @@
             if (connection == nullptr) {
                 connection = std::make_shared<PooledConnection>(this->context);
             }
-        } else if (connection != nullptr) {
+        } else if (connection != nullptr && !slotsWanted) {
             pool.idle.push_back(std::move(connection));
             this->scheduleEviction(address, pool);
-        } else if (--pool.open == 0) {
-            shard.addressPools.erase(address);
+        } else {
+            connection = nullptr;
+            slotFree = true;
+            if (--pool.open == 0) {
+                shard.addressPools.erase(address);
+            }
         }
     }
+    if (slotFree) {
+        this->releaseSlots(1);
+    }
     if (next != nullptr) {
         next->timer->cancel();
         next->callback(std::move(connection));
@@ -157,18 +306,25 @@
 
 void ConnectionPool::closeIdle(const Address &address, SteadyTime lastUsedBefore)
 {
-    Shard &shard = this->shardOf(address);
-    const std::lock_guard lock(shard.mutex);
-    const auto found = shard.addressPools.find(address);
-    if (found == shard.addressPools.end()) {
-        return;
+    std::size_t closed = 0;
+    {
+        Shard &shard = this->shardOf(address);
+        const std::lock_guard lock(shard.mutex);
+        const auto found = shard.addressPools.find(address);
+        if (found == shard.addressPools.end()) {
+            return;
+        }
+        AddressPool &pool = found->second;
+        closed = std::erase_if(pool.idle, [lastUsedBefore](const auto &connection) {
+            return connection->lastUsedAt < lastUsedBefore;
+        });
+        pool.open -= closed;
+        if (pool.open == 0) {
+            shard.addressPools.erase(found);
+        }
     }
-    AddressPool &pool = found->second;
-    pool.open -= std::erase_if(pool.idle, [lastUsedBefore](const auto &connection) {
-        return connection->lastUsedAt < lastUsedBefore;
-    });
-    if (pool.open == 0) {
-        shard.addressPools.erase(found);
+    if (closed > 0) {
+        this->releaseSlots(closed);
     }
 }
 
--- a/libs/link/src/http_client.cpp
+++ b/libs/link/src/http_client.cpp
@@ -37,6 +37,15 @@
            });
 }
 
+/** Returns whether this process ran out of a resource that a connection needs. */
+bool isLocalShortage(BoostError error)
+{
+    namespace errc = boost::system::errc;
+    return error == errc::too_many_files_open || error == errc::too_many_files_open_in_system
+        || error == errc::no_buffer_space || error == errc::not_enough_memory
+        || error == errc::address_not_available;
+}
+
 /** One request and its response. Once it has a connection, it runs on the connection's strand. */
 class HttpExchange : public std::enable_shared_from_this<HttpExchange>
 {
@@ -185,7 +194,9 @@
                                        "no complete response arrived in time", outcome));
             return;
         }
-        this->done(this->makeError(ErrorCode::Unavailable, error.message(), outcome));
+        const ErrorCode code
+            = isLocalShortage(error) ? ErrorCode::Overloaded : ErrorCode::Unavailable;
+        this->done(this->makeError(code, error.message(), outcome));
     }
 
     void releaseConnection(bool reusable)
@@ -244,4 +255,9 @@
         ->start(request, this->impl->limits.maxResponseBody);
 }
 
+HttpClientUsage HttpClient::usage() const
+{
+    return this->impl->pool->usage();
+}
+
 } // namespace gooseberry
--- a/libs/link/test/http_client_test.cpp
+++ b/libs/link/test/http_client_test.cpp
@@ -309,4 +309,76 @@
     BOOST_TEST((onlyError(client).code == ErrorCode::InvalidArgument));
 }
 
+// Guards against a burst of requests to many addresses that takes all descriptors of the process:
+// the client then fails to connect, and so does everything else.
+BOOST_AUTO_TEST_CASE(SharesItsConnectionsAmongAllAddresses)
+{
+    Executor executor(2);
+    std::mutex mutex;
+    std::vector<HttpServer::Respond> waiting;
+    const auto hold = [&](const HttpRequest & /*request*/, const HttpServer::Respond &respond) {
+        const std::lock_guard lock(mutex);
+        waiting.push_back(respond);
+    };
+    HttpServer first(executor, HttpServerLimits{}, hold);
+    HttpServer second(executor, HttpServerLimits{}, hold);
+    const auto firstAddress = first.listen(Address{.host = "127.0.0.1", .port = 0});
+    const auto secondAddress = second.listen(Address{.host = "127.0.0.1", .port = 0});
+    BOOST_REQUIRE(ok(firstAddress));
+    BOOST_REQUIRE(ok(secondAddress));
+    HttpClientLimits limits;
+    limits.maxConnections = 2;
+    TestClient client(limits);
+    constexpr std::size_t perAddress = 5;
+    for (std::size_t i = 0; i < perAddress; ++i) {
+        client.begin(valueOf(firstAddress));
+        client.begin(valueOf(secondAddress));
+    }
+    std::size_t answered = 0;
+    while (answered < 2 * perAddress) {
+        std::vector<HttpServer::Respond> ready;
+        {
+            const std::lock_guard lock(mutex);
+            ready.swap(waiting);
+        }
+        BOOST_TEST(ready.size() <= 2U);
+        for (const HttpServer::Respond &respond : ready) {
+            respond(HttpResponse{});
+            ++answered;
+        }
+        std::this_thread::sleep_for(milliseconds(1));
+    }
+    for (const Reply &reply : client.await(2 * perAddress)) {
+        BOOST_TEST(ok(reply));
+    }
+    BOOST_TEST(client.client.usage().peakConnections == 2U);
+    BOOST_TEST(client.client.usage().waitingRequests == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(ReportsALackOfConnectionsAsItsOwnOverload)
+{
+    Executor executor(1);
+    std::vector<HttpServer::Respond> held;
+    std::mutex mutex;
+    HttpServer server(executor, HttpServerLimits{},
+                      [&](const HttpRequest & /*request*/, const HttpServer::Respond &respond) {
+                          const std::lock_guard lock(mutex);
+                          held.push_back(respond);
+                      });
+    const auto address = server.listen(Address{.host = "127.0.0.1", .port = 0});
+    BOOST_REQUIRE(ok(address));
+    HttpClientLimits limits;
+    limits.maxConnections = 1;
+    TestClient client(limits);
+    client.begin(valueOf(address), milliseconds(2000));
+    client.begin(valueOf(address), milliseconds(200));
+    const std::vector<Reply> replies = client.await(1);
+    BOOST_REQUIRE(!ok(replies.front()));
+    BOOST_TEST((errorOf(replies.front()).code == ErrorCode::Overloaded));
+    BOOST_TEST((errorOf(replies.front()).outcome == Outcome::NotRun));
+    client.await(2);
+    const std::lock_guard lock(mutex);
+    held.clear();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/libs/policy/include/policy/policy.h
+++ b/libs/policy/include/policy/policy.h
@@ -7,7 +7,9 @@
 #include <policy/admission.h>
 #include <policy/correction.h>
 #include <policy/evacuation.h>
+#include <policy/descriptor_budget.h>
 #include <policy/ordering.h>
+#include <policy/order_failure.h>
 #include <policy/placement.h>
 #include <policy/preemption.h>
 #include <policy/quarantine.h>
