Read links in chunks and write log messages before waiting requests

Cause: the leader of the large site stepped down about a second after each election. A trace of every append and reply showed its appends at the followers within 20 ms and their replies written within 10 ms, but read by the leader 0.3 to 1.1 s later: one follower had 160 KB of relayed requests queued to it and wrote 13 KB in 0.75 s. A link read one frame with two operations in each turn of the thread, so a link with many requests got no more than each of the 150 others, and the replies of the log's replicas waited behind the requests on the same link. Change: a link reads up to 16 KB at once and handles all complete frames. Messages are written before the requests and replies that wait on a link. Requests that wait for a new leader are sent again on the executor, since a leader serves its own ones there. The new test finds the message behind the requests without the change.

--- a/libs/cluster/src/cell_links.cpp
+++ b/libs/cluster/src/cell_links.cpp
@@ -77,7 +77,7 @@
             }
         }
         if (leaderLinked) {
-            this->retryWithNewLeader(peer);
+            this->executor.post([this, peer]() { this->retryWithNewLeader(peer); });
         }
     };
     this->network = std::make_unique<PeerNetwork>(
@@ -254,7 +254,7 @@
     }
     this->updatePeers();
     if (leaderChanged) {
-        this->retryWithNewLeader(beacon.leader);
+        this->executor.post([this, leader = beacon.leader]() { this->retryWithNewLeader(leader); });
     }
 }
 
--- a/libs/link/src/link_connection.cpp
+++ b/libs/link/src/link_connection.cpp
@@ -4,7 +4,6 @@
 
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
 namespace gooseberry {
@@ -18,6 +17,11 @@
 constexpr std::size_t maxBatch = 64;
 /** A batch takes no more frames once it has this many bytes, for the same reason. */
 constexpr std::size_t maxBatchBytes = 256UL * 1024;
+/**
+ * Bytes to read at once. One read of many short frames keeps a link with many requests from falling
+ * behind the other links of the thread.
+ */
+constexpr std::size_t readSize = 16UL * 1024;
 
 } // namespace
 
@@ -50,7 +54,7 @@
                 return;
             }
             self->sendHello();
-            self->readLength();
+            self->readMore();
         });
     });
 }
@@ -61,7 +65,7 @@
         self->lastReplyAt = std::chrono::steady_clock::now();
         self->nextHeartbeatAt = self->lastReplyAt + self->settings.heartbeatTimeout;
         self->checkHeartbeat();
-        self->readLength();
+        self->readMore();
     });
 }
 
@@ -87,7 +91,8 @@
             return false;
         }
         this->queuedBytes += size;
-        this->queue.push_back(std::move(frame));
+        auto &target = frame.kind == FrameKind::Message ? this->messages : this->queue;
+        target.push_back(std::move(frame));
     }
     asio::post(this->socket.get_executor(), [self = this->shared_from_this()]() { self->flush(); });
     return true;
@@ -102,45 +107,53 @@
         encodeHello({.cellName = this->settings.cellName, .sender = this->settings.self}));
 }
 
-void Link::readLength()
+void Link::readMore()
 {
-    asio::async_read(this->socket, asio::buffer(this->lengthBytes),
-                     [self = this->shared_from_this()](BoostError error, std::size_t) {
-                         if (error || self->closed) {
-                             self->closeNow();
-                             return;
-                         }
-                         self->readBody(decodeFrameLength(self->lengthBytes));
-                     });
+    this->socket.async_read_some(
+        this->input.prepare(readSize),
+        [self = this->shared_from_this()](BoostError error, std::size_t size) {
+            if (error || self->closed) {
+                self->closeNow();
+                return;
+            }
+            self->input.commit(size);
+            self->processInput();
+        });
 }
 
-void Link::readBody(std::uint32_t length)
+void Link::processInput()
 {
-    const std::size_t limit
-        = this->helloReceived ? static_cast<std::size_t>(maxFrame.value) : maxHelloSize;
-    if (length == 0 || length > limit) {
-        this->closeNow();
-        return;
+    while (!this->closed && this->input.size() >= frameLengthSize) {
+        std::array<unsigned char, frameLengthSize> lengthBytes{};
+        const auto *const begin = static_cast<const char *>(this->input.data().data());
+        std::copy_n(begin, frameLengthSize, lengthBytes.begin());
+        const std::size_t length = decodeFrameLength(lengthBytes);
+        const std::size_t limit
+            = this->helloReceived ? static_cast<std::size_t>(maxFrame.value) : maxHelloSize;
+        if (length == 0 || length > limit) {
+            this->closeNow();
+            return;
+        }
+        const std::size_t size = frameLengthSize + length;
+        if (this->input.size() < size) {
+            break;
+        }
+        std::optional<Frame> frame = decodeFrame(std::string(begin + frameLengthSize, length));
+        this->input.consume(size);
+        if (!frame.has_value()) {
+            this->closeNow();
+            return;
+        }
+        this->onFrame(std::move(*frame));
+        this->listener->linkRead(*this, Bytes(static_cast<std::int64_t>(size)));
+    }
+    if (!this->closed) {
+        if (this->input.size() == 0 && this->input.capacity() > 2 * readSize) {
+            // Frees the memory that a large frame took.
+            this->input.shrink_to_fit();
+        }
+        this->readMore();
     }
-    this->body.resize(length);
-    asio::async_read(this->socket, asio::buffer(this->body),
-                     [self = this->shared_from_this()](BoostError error, std::size_t size) {
-                         if (error || self->closed) {
-                             self->closeNow();
-                             return;
-                         }
-                         std::optional<Frame> frame = decodeFrame(std::exchange(self->body, {}));
-                         if (!frame.has_value()) {
-                             self->closeNow();
-                             return;
-                         }
-                         self->onFrame(std::move(*frame));
-                         self->listener->linkRead(
-                             *self, Bytes(static_cast<std::int64_t>(size + frameLengthSize)));
-                         if (!self->closed) {
-                             self->readLength();
-                         }
-                     });
 }
 
 void Link::onFrame(Frame frame)
@@ -240,7 +253,7 @@
     const auto take = [this](std::deque<Frame> &from) {
         Frame frame = std::move(from.front());
         from.pop_front();
-        const std::size_t counted = &from == &this->queue ? frame.payload.size() : 0;
+        const std::size_t counted = &from == &this->controlFrames ? 0 : frame.payload.size();
         SendState expected = SendState::Queued;
         if (frame.sendState == nullptr
             || frame.sendState->compare_exchange_strong(expected, SendState::Written)) {
@@ -255,8 +268,12 @@
     while (!this->controlFrames.empty()) {
         take(this->controlFrames);
     }
-    while (!this->queue.empty() && this->batch.size() < maxBatch
-           && this->batchBytes < maxBatchBytes) {
+    const auto hasRoom
+        = [this]() { return this->batch.size() < maxBatch && this->batchBytes < maxBatchBytes; };
+    while (!this->messages.empty() && hasRoom()) {
+        take(this->messages);
+    }
+    while (!this->queue.empty() && hasRoom()) {
         take(this->queue);
     }
     return !this->batch.empty();
@@ -307,6 +324,7 @@
     {
         const std::lock_guard lock(this->mutex);
         this->isReady = false;
+        this->messages.clear();
         this->queue.clear();
         this->controlFrames.clear();
     }
--- a/libs/link/src/link_connection.h
+++ b/libs/link/src/link_connection.h
@@ -8,6 +8,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
 
 #include <link/peer_network.h>
 
@@ -67,8 +68,9 @@
     using BoostError = boost::system::error_code;
 
     void sendHello();
-    void readLength();
-    void readBody(std::uint32_t length);
+    void readMore();
+    /** Handles all complete frames that were read. */
+    void processInput();
     void onFrame(Frame frame);
     void onHello(const Frame &frame);
     /** Sends a heartbeat when one is due; closes the link when the last reply is too old. */
@@ -94,8 +96,8 @@
     bool closed = false;
     SteadyTime lastReplyAt;
     SteadyTime nextHeartbeatAt;
-    std::array<unsigned char, frameLengthSize> lengthBytes{};
-    std::string body;
+    /** Bytes that were read and whose frame is not complete yet. */
+    boost::beast::flat_buffer input;
     std::vector<std::pair<std::string, std::string>> batch;
     std::size_t batchBytes = 0;
     /** The part of queuedBytes that the batch holds. */
@@ -105,6 +107,8 @@
     mutable std::mutex mutex;
     bool isReady = false;
     std::deque<Frame> controlFrames;
+    /** Messages, which are written before the requests and replies in queue. */
+    std::deque<Frame> messages;
     std::deque<Frame> queue;
     std::size_t queuedBytes = 0;
 };
--- a/libs/link/test/peer_network_test.cpp
+++ b/libs/link/test/peer_network_test.cpp
@@ -457,4 +457,47 @@
     BOOST_TEST(traffic.bytesSent.value >= 100'000);
 }
 
+// Guards against replicas of the log that lose their leader while it is busy: the acknowledgements
+// waited behind hundreds of relayed requests on the same link, for up to a second.
+BOOST_AUTO_TEST_CASE(SendsMessagesBeforeWaitingRequests)
+{
+    TestInstance receiver(settingsOf(beta));
+    TestInstance sender(settingsOf(alpha, {{beta, receiver.address}}));
+    BOOST_REQUIRE(sender.awaitLink(beta, true));
+    constexpr std::size_t requests = 4000;
+    const std::string padding(1000, 'x');
+    for (std::size_t i = 0; i < requests; ++i) {
+        sender.call(beta, padding);
+    }
+    BOOST_TEST(sender.network.send(beta, "message"));
+    BOOST_REQUIRE(receiver.awaitFrame("message"));
+    const Observed seen = receiver.observed.get();
+    const auto message = std::find_if(seen.frames.begin(), seen.frames.end(),
+                                      [](const auto &entry) { return entry.second == "message"; });
+    // Requests that were written or received before the message was queued come first.
+    const auto position = static_cast<std::size_t>(message - seen.frames.begin());
+    BOOST_TEST(position < requests * 3 / 4);
+    BOOST_REQUIRE(receiver.observed.waitFor(
+        testTimeout, [](const Observed &now) { return now.frames.size() == requests + 1; }));
+}
+
+BOOST_AUTO_TEST_CASE(ReassemblesFramesOfAllSizes)
+{
+    TestInstance receiver(settingsOf(beta));
+    TestInstance sender(settingsOf(alpha, {{beta, receiver.address}}));
+    BOOST_REQUIRE(sender.awaitLink(beta, true));
+    const std::vector<std::size_t> sizes{1, 16'379, 16'380, 16'381, 70'000, 3, 2'000'000, 5};
+    for (const std::size_t size : sizes) {
+        BOOST_TEST(sender.network.send(beta, std::string(size, static_cast<char>('a' + size % 7))));
+    }
+    BOOST_REQUIRE(receiver.observed.waitFor(
+        testTimeout, [&](const Observed &now) { return now.frames.size() == sizes.size(); }));
+    const Observed seen = receiver.observed.get();
+    for (std::size_t i = 0; i < sizes.size(); ++i) {
+        const std::string expected(sizes[i], static_cast<char>('a' + sizes[i] % 7));
+        BOOST_TEST_MESSAGE("frame " << i << " of " << sizes[i] << " bytes");
+        BOOST_TEST((seen.frames[i].second == expected));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
