--- a/libs/dispatch/src/upstream_scheduler_workers.cpp
+++ b/libs/dispatch/src/upstream_scheduler_workers.cpp
@@ -20,6 +20,8 @@
 constexpr std::chrono::seconds maxOrderDelay{15};
 /** Added to the lease expiry for timers that fire late. */
 constexpr std::chrono::milliseconds leaseExpiryMargin{300};
+/** A worker's stops without an answer are checked every so many ticks, a part of them each tick. */
+constexpr std::uint32_t stopCheckTicks = 5;
 /** Delay before the command for ends that could not be stored is proposed again. */
 constexpr std::chrono::milliseconds storeRetryDelay{200};
 
@@ -77,6 +79,7 @@
     worker.acknowledgedEnds = 0;
     worker.unstoredEnds.clear();
     worker.fenceConfirmed = false;
+    ++worker.restarts;
     worker.failuresInRow = 0;
     worker.lastRenewalFailed = false;
     worker.avoidUntil = now;
@@ -167,7 +170,7 @@
                         .address = worker.record.address,
                         .incarnation = worker.record.incarnation};
     LeaseRenewalOrder order{.leaseEnd = WorkerTime{},
-                            .fence = this->term,
+                            .fence = fencingToken(this->term, worker.restarts),
                             .acknowledgedEnds = highestAcknowledgeableEnd(worker),
                             .wait = worker.fenceConfirmed && worker.clock && !worker.runs.empty()
                                 ? this->settings.renewalWait
@@ -231,9 +234,13 @@
         return;
     }
     if (!ok(result)) {
-        worker.lastRenewalFailed = true;
+        const OrderFailure failure = this->recordOrderFailure(worker, errorOf(result));
         spdlog::info("event=hold-unanswered worker={} {}", id.value, describe(errorOf(result)));
-        this->avoidWorker(worker, this->settings.renewalWait, "hold-unanswered");
+        // A renewal that was never sent leaves the worker's lease as it was.
+        worker.lastRenewalFailed = worker.lastRenewalFailed || failure != OrderFailure::Sender;
+        if (failure == OrderFailure::Worker) {
+            this->avoidWorker(worker, this->settings.renewalWait, "hold-unanswered");
+        }
         renewAfter(renewalRetryDelay);
         return;
     }
@@ -468,6 +475,7 @@
 void UpstreamScheduler::handleExpiredLeases(Effects &effects)
 {
     const SteadyTime now = this->context.clock.steadyNow();
+    ++this->ticks;
     std::vector<InstanceId> removed;
     for (auto &[id, worker] : this->workers) {
         if (now > worker.leaseExpiresBy + leaseExpiryMargin) {
@@ -491,6 +499,9 @@
             && now - worker.lastContact > this->settings.forgetTimeout) {
             removed.push_back(id);
         }
+        if (worker.slot % stopCheckTicks != this->ticks % stopCheckTicks) {
+            continue;
+        }
         for (const auto &[key, number] : worker.runs) {
             LiveTask *task = this->findTask(key);
             if (task != nullptr && task->run && task->run->stopRequested
--- a/libs/dispatch/test/dispatch_fixture.cpp
+++ b/libs/dispatch/test/dispatch_fixture.cpp
@@ -142,6 +142,11 @@
                         std::function<void(Result<StartReply>)> done)
 {
     FakeWorker &worker = this->workers[ref.id];
+    if (this->sendFailure) {
+        this->timers.schedule()(std::chrono::milliseconds(1),
+                                [done, failure = *this->sendFailure]() { done(failure); });
+        return;
+    }
     if (worker.unresponsive || worker.startsUnanswered) {
         this->delayedStarts.emplace_back(ref.id, order);
         this->timers.schedule()(answerTimeout, [done]() { done(unanswered()); });
@@ -254,6 +259,9 @@
                          std::function<void(Result<AdviceReply>)> done)
 {
     this->requests.push_back(request);
+    if (this->silent) {
+        return;
+    }
     if (this->fails) {
         this->timers.schedule()(std::chrono::milliseconds(1), [done]() { done(unanswered()); });
         return;
@@ -325,13 +333,13 @@
 }
 
 WorkflowId DispatchFixture::submit(const std::string &id, std::vector<StepSpec> steps,
-                                   const std::string &customer)
+                                   const std::string &customer, const std::string &queue)
 {
     WorkflowSpec spec;
     spec.payload = "payload";
     spec.steps = std::move(steps);
     this->apply(AcceptWorkflow{.id = WorkflowId(id),
-                               .queue = "queue",
+                               .queue = queue,
                                .upstream = "upstream",
                                .customer = CustomerId(customer),
                                .attempts = 3,
--- a/libs/dispatch/test/dispatch_fixture.h
+++ b/libs/dispatch/test/dispatch_fixture.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -61,7 +62,7 @@
     std::map<TaskKey, RunNumber> running;
     std::vector<EndedEntry> ended;
     std::map<TaskKey, RunNumber> refusedRuns;
-    Term fence;
+    FencingToken fence;
     WorkerTime leaseEnd;
     std::uint64_t lastEnd = 0;
     std::uint64_t acknowledged = 0;
@@ -104,6 +105,8 @@
 
     std::map<InstanceId, FakeWorker> workers;
     std::vector<std::string> violations;
+    /** If set, no start is sent and each fails with this error. */
+    std::optional<Error> sendFailure;
     /** Any incarnation carries out a start, as a worker does that restarts under the same id. */
     bool acceptsAnyIncarnation = false;
     /** Starts that got no answer and are not carried out yet. */
@@ -126,6 +129,14 @@
     void advise(const AdviceRequest &request, std::chrono::microseconds cost,
                 std::function<void(Result<AdviceReply>)> done) override;
 
+    std::size_t senderCount() const override
+    {
+        return this->senders;
+    }
+
+    std::size_t senders = 8;
+    /** Requests get no answer. */
+    bool silent = false;
     std::set<InstanceId> refused;
     std::vector<AdviceRequest> requests;
     bool fails = false;
@@ -168,7 +179,7 @@
 
     void changeConfig(const std::function<void(RoutingConfig &)> &change);
     WorkflowId submit(const std::string &id, std::vector<StepSpec> steps,
-                      const std::string &customer = "customer");
+                      const std::string &customer = "customer", const std::string &queue = "queue");
     void cancel(const WorkflowId &id);
     void announce(const InstanceId &id, const std::function<void(WorkerRecord &)> &change);
     void evacuate(const std::string &domain, bool evacuated);
