--- a/libs/cluster/include/cluster/cluster_node.h
+++ b/libs/cluster/include/cluster/cluster_node.h
@@ -65,7 +65,7 @@
     WorkflowState state;
     NodeMetrics nodeMetrics;
     /** Runs the links to other nodes only; see CellLinks. */
-    Executor linkExecutor{1};
+    Executor linkExecutor;
     CellLinks links;
     AdviceRouter router;
     WorkflowLog log;
--- a/libs/cluster/include/cluster/node_metrics.h
+++ b/libs/cluster/include/cluster/node_metrics.h
@@ -11,6 +11,8 @@
 /** Gauges, computed when metrics are requested. */
 struct NodeStats
 {
+    /** Tasks of the executors that have ended with an exception. */
+    std::uint64_t failedTasks = 0;
     bool leaderKnown = false;
     bool hasLog = false;
     bool isLeader = false;
--- a/libs/cluster/src/cluster_node.cpp
+++ b/libs/cluster/src/cluster_node.cpp
@@ -49,6 +49,11 @@
     return replica;
 }
 
+void logTaskFailure(const std::string &what)
+{
+    spdlog::error("event=task-failed what=\"{}\"", what);
+}
+
 template<typename Reply, typename Done>
 std::function<void(Result<Reply>)> encodeReply(Done done)
 {
@@ -83,6 +88,7 @@
     , executor(initialExecutor)
     , adviser(initialAdviser)
     , state(this->settings.retention)
+    , linkExecutor(1, logTaskFailure)
     , links(initialExecutor, this->linkExecutor, initialClock, this->settings,
             [this](RequestKind kind, const std::string &request,
                    std::function<void(Result<std::string>)> done) {
@@ -348,6 +354,7 @@
         stats.voters = status.membership.voters.size();
         stats.committedIndex = status.committed.value;
     }
+    stats.failedTasks = this->executor.failedTasks() + this->linkExecutor.failedTasks();
     stats.upstreams = this->dispatcher.stats();
     return this->nodeMetrics.serialize(stats);
 }
--- a/libs/cluster/src/node_metrics.cpp
+++ b/libs/cluster/src/node_metrics.cpp
@@ -170,6 +170,8 @@
     prometheus::Registry now;
     const auto number = [](auto value) { return static_cast<double>(value); };
     addGauge(now, "leader_known", "Whether this node knows a leader.", number(stats.leaderKnown));
+    addGauge(now, "tasks_failed_total", "Tasks of this process that have thrown an exception.",
+             number(stats.failedTasks));
     if (stats.hasLog) {
         addGauge(now, "leads", "Whether this node leads.", number(stats.isLeader));
         addGauge(now, "voter", "Whether this node votes with the disk that it has.",
--- a/libs/cluster/src/workflow_log.cpp
+++ b/libs/cluster/src/workflow_log.cpp
@@ -61,7 +61,13 @@
     }
     const ProposedCommand &proposed = valueOf(decoded);
     const CommandOutcome outcome = this->state.apply(proposed);
-    this->events.applied(proposed.command, outcome);
+    try {
+        this->events.applied(proposed.command, outcome);
+    } catch (const std::exception &error) {
+        // The replicated state is changed already; only this node's scheduling has missed it.
+        spdlog::error("event=entry-not-scheduled index={} what=\"{}\"", entry.index.value,
+                      error.what());
+    }
     if (proposed.origin != this->origin) {
         return;
     }
--- a/libs/link/include/link/executor.h
+++ b/libs/link/include/link/executor.h
@@ -1,18 +1,26 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <memory>
+#include <string>
 
 #include <base/base.h>
 
 namespace gooseberry {
 
-/** A thread pool that serves all connections of a process. Idle threads block without polling. */
+/**
+ * A thread pool that serves all connections of a process. Idle threads block without polling. A
+ * task that throws ends only itself: its exception is reported and counted, and the thread goes on.
+ */
 class Executor
 {
 public:
-    /** Starts the threads. */
-    explicit Executor(unsigned threadCount);
+    /** Receives the text of an exception, on the thread whose task has thrown it. */
+    using ExceptionHandler = std::function<void(const std::string &what)>;
+
+    /** Starts the threads. Without a handler, exceptions are written to standard error. */
+    explicit Executor(unsigned threadCount, ExceptionHandler onException = {});
     /** Stops and joins the threads; queued tasks that have not started are discarded. */
     ~Executor();
 
@@ -23,6 +31,8 @@
     void post(std::function<void()> task);
     /** Runs the task once, no earlier than the delay from now. */
     void after(Duration delay, std::function<void()> task);
+    /** Returns how many tasks have thrown an exception. */
+    std::uint64_t failedTasks() const;
     /** Joins all threads after their current task. Must not be called from one of them. */
     void stop();
 
--- a/libs/link/src/executor.cpp
+++ b/libs/link/src/executor.cpp
@@ -1,18 +1,45 @@
 #include "executor_impl.h"
 
+#include <exception>
+#include <iostream>
+
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 namespace gooseberry {
 
-Executor::Executor(unsigned threadCount)
+void Executor::Impl::run()
+{
+    while (true) {
+        std::string what = "not a std::exception";
+        try {
+            this->context.run();
+            return;
+        } catch (const std::exception &error) {
+            what = error.what();
+        } catch (...) { // NOLINT(bugprone-empty-catch): reported below
+        }
+        ++this->failedTasks;
+        this->onException(what);
+    }
+}
+
+Executor::Executor(unsigned threadCount, ExceptionHandler onException)
     : owned(std::make_unique<Impl>())
 {
+    this->owned->onException = onException != nullptr
+        ? std::move(onException)
+        : [](const std::string &what) { std::cerr << "a task has failed: " << what << '\n'; };
     for (unsigned i = 0; i < threadCount; ++i) {
-        this->owned->threads.emplace_back([this]() { this->owned->context.run(); });
+        this->owned->threads.emplace_back([this]() { this->owned->run(); });
     }
 }
 
+std::uint64_t Executor::failedTasks() const
+{
+    return this->owned->failedTasks;
+}
+
 Executor::~Executor()
 {
     this->stop();
--- a/libs/link/src/executor_impl.h
+++ b/libs/link/src/executor_impl.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <atomic>
+#include <cstdint>
 #include <thread>
 #include <vector>
 
@@ -16,6 +18,11 @@
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> guard
         = boost::asio::make_work_guard(this->context);
     std::vector<std::thread> threads;
+    ExceptionHandler onException;
+    std::atomic<std::uint64_t> failedTasks{0};
+
+    /** Runs tasks until the context is stopped. */
+    void run();
 };
 
 } // namespace gooseberry
--- a/libs/link/src/http_server.cpp
+++ b/libs/link/src/http_server.cpp
@@ -43,8 +43,10 @@
     HttpResponse response;
     response.status = status;
     response.headers["content-type"] = "application/json";
+    const std::string outcome = status == 500 ? "unknown" : "not-run";
     response.body = R"({"code":")" + code + R"(","reason":")" + code
-        + R"(","step":"receive","peer":"","outcome":"not-run","message":")" + message + "\"}";
+        + R"(","step":"receive","peer":"","outcome":")" + outcome + R"(","message":")" + message
+        + "\"}";
     return response;
 }
 
@@ -256,11 +258,21 @@
         request.peer = this->peer;
         // The handler has no timeout here; the caller decides how long it waits.
         this->stream.expires_never();
-        this->server->handler(
-            std::move(request), [self = this->shared_from_this()](HttpResponse response) {
-                asio::post(self->stream.get_executor(),
-                           [self, response = std::move(response)]() { self->write(response); });
-            });
+        const auto responded = std::make_shared<std::atomic<bool>>(false);
+        const auto respond = [self = this->shared_from_this(), responded](HttpResponse response) {
+            if (responded->exchange(true)) {
+                return;
+            }
+            asio::post(self->stream.get_executor(),
+                       [self, response = std::move(response)]() { self->write(response); });
+        };
+        try {
+            this->server->handler(std::move(request), respond);
+        } catch (...) {
+            // Whether the request has had an effect is not known, so the sender may ask again.
+            respond(makeErrorResponse(500, "internal", "the request could not be handled"));
+            throw;
+        }
     }
 
     void write(const HttpResponse &response)
--- a/libs/link/test/http_server_test.cpp
+++ b/libs/link/test/http_server_test.cpp
@@ -272,4 +272,40 @@
     }
 }
 
+// Guards against one malformed message, or an unexpected error, that takes the whole process down.
+BOOST_AUTO_TEST_CASE(SurvivesAHandlerThatThrows)
+{
+    std::atomic<int> reported{0};
+    Executor executor(1, [&reported](const std::string & /*what*/) { ++reported; });
+    HttpServer server(executor, HttpServerLimits{},
+                      [](const HttpRequest &request, const HttpServer::Respond &respond) {
+                          if (request.target == "/bad") {
+                              throw std::runtime_error("unexpected");
+                          }
+                          respond(HttpResponse{});
+                      });
+    const auto address = server.listen(Address{.host = "127.0.0.1", .port = 0});
+    BOOST_REQUIRE(ok(address));
+    HttpClient client(executor);
+    const auto statusOf = [&](const std::string &target) {
+        Awaitable<unsigned> status;
+        HttpRequest request;
+        request.method = "GET";
+        request.target = target;
+        client.send(valueOf(address), request, milliseconds(10'000),
+                    [&status](const Result<HttpResponse> &result) {
+                        status.update(
+                            [&](unsigned &now) { now = ok(result) ? valueOf(result).status : 1; });
+                    });
+        BOOST_REQUIRE(status.waitFor(milliseconds(20'000), [](unsigned now) { return now != 0; }));
+        return status.get();
+    };
+    BOOST_TEST(statusOf("/bad") == 500U);
+    BOOST_TEST(statusOf("/good") == 200U);
+    BOOST_TEST(reported == 1);
+    BOOST_TEST(executor.failedTasks() == 1U);
+    BOOST_TEST(server.drain(milliseconds(10'000)));
+    executor.stop();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
