--- a/libs/dispatch/include/dispatch/adviser_access.h
+++ b/libs/dispatch/include/dispatch/adviser_access.h
@@ -42,8 +42,7 @@
     virtual void advise(const AdviceRequest &request, std::chrono::microseconds cost,
                         std::function<void(Result<AdviceReply>)> done)
         = 0;
-    /** Returns the number of instances that can send requests; the adviser serves each by itself.
-     */
+    /** Returns how many instances can send requests. The adviser has a queue for each. */
     virtual std::size_t senderCount() const = 0;
 };
 
--- a/libs/dispatch/include/dispatch/upstream_scheduler.h
+++ b/libs/dispatch/include/dispatch/upstream_scheduler.h
@@ -163,7 +163,7 @@
     void stopGang(const TaskKey &key, RunNumber run, Effects &effects);
     /** Marks the task, or all tasks of its gang, as done after the run has succeeded. */
     void completeTask(const TaskKey &key, RunNumber run, Effects &effects);
-    /** Returns whether the failed order counts against the worker, and records the failure. */
+    /** Records that an order to the worker has failed and returns where the failure lies. */
     OrderFailure recordOrderFailure(const UpstreamWorker &worker, const Error &error);
     /** Places no tasks on the worker for this time. */
     void avoidWorker(UpstreamWorker &worker, Duration time, const char *reason);
@@ -213,7 +213,7 @@
     std::uint32_t lastSlotNumber = 0;
     std::uint32_t ticks = 0;
     SteadyTime nextSummary;
-    /** Requests to the adviser that are not answered yet, by the priority of their queue. */
+    /** Requests to the adviser that are not answered yet, by their priority. */
     std::map<std::uint32_t, AdviceBacklog> adviceBacklog;
     /**
      * For each queue, the running mean of the fraction of listed workers that the adviser allows.
--- a/libs/dispatch/src/step_urgency.cpp
+++ b/libs/dispatch/src/step_urgency.cpp
@@ -4,8 +4,7 @@
 
 namespace {
 
-/** Distance between the groups of steps; above the priorities of queues, which are small numbers.
- */
+/** Distance between the groups of steps; more than the highest priority of a queue. */
 constexpr std::uint32_t groupOffset = 1'000'000;
 /** A result is of no use after this many times its objective. */
 constexpr int expiryFactor = 3;
