Reserve also in the broken variant that ignores a team's limit

The injected fault left out the reservation itself, so the variant broke two rules, and which one the model saw first depended on the order of its decisions. Why that order differs from x86-64 was not traced. Change: the fault reserves without a limit. The check is as it was.

--- a/libs/scheduler/src/scheduling_round.cpp
+++ b/libs/scheduler/src/scheduling_round.cpp
@@ -1,6 +1,7 @@
 #include "scheduling_round.h"
 
 #include <algorithm>
+#include <limits>
 #include <set>
 
 namespace gooseberry {
@@ -19,6 +20,15 @@
     return std::min(static_cast<double>(mixed) * scale, 0.999999);
 }
 
+Limit unlimited()
+{
+    return Limit{.maximum = Resources{
+                     .cpu = CpuMillis(std::numeric_limits<std::int64_t>::max()),
+                     .memory = Bytes(std::numeric_limits<std::int64_t>::max()),
+                     .accelerators = AcceleratorCount(std::numeric_limits<std::int64_t>::max()),
+                     .slots = SlotCount(std::numeric_limits<std::int64_t>::max())}};
+}
+
 } // namespace
 
 SchedulingRound::SchedulingRound(const RoundContext &initialContext)
@@ -211,8 +221,10 @@
     const JobSpec &spec = *pick.work.spec;
     const bool gang = spec.jobClass == JobClass::Gang;
     const FairTeam &team = this->order.teams[pick.team];
-    if (!this->context.settings.faults.ignoreTeamLimit
-        && !ok(this->context.ledger.reserve(team.id, pick.total, team.limit))) {
+    // The injected fault exceeds the limit but still reserves, so that it breaks this one rule
+    // only.
+    const Limit limit = this->context.settings.faults.ignoreTeamLimit ? unlimited() : team.limit;
+    if (!ok(this->context.ledger.reserve(team.id, pick.total, limit))) {
         pick.reason = Reason::TeamAtLimit;
         return;
     }
