Do not keep the network alive through queued requests

A request of another node that waited on the node's executor held the reply, and with it the network, whose acceptor then outlived the thread and context of the links. Change: CellLinks keeps the replies and drops them when it stops; the work on the executor refers to a reply by its number.

--- a/libs/cluster/include/cluster/cell_links.h
+++ b/libs/cluster/include/cluster/cell_links.h
@@ -86,6 +86,8 @@
     void retryWithNewLeader(const InstanceId &leader);
     void onRequest(const std::string &frame, const PeerHandlers::Reply &reply);
     void serveFrame(const std::string &frame, const PeerHandlers::Reply &reply);
+    /** Passes the answer to a request to its sender, unless this node has stopped. */
+    void answerRequest(std::uint64_t number, std::string answer);
     void callPeer(const InstanceId &node, const std::string &frame,
                   std::chrono::milliseconds timeout, std::function<void(Result<std::string>)> done);
     /**
@@ -140,6 +142,12 @@
     /** When the executor last ran step(). */
     SteadyTime lastStepAt;
     std::set<std::shared_ptr<PendingRequest>> pendingRequests;
+    /**
+     * The replies to requests of other nodes. Work on the executor refers to them by number, since
+     * a reply keeps the network alive, which must not outlive linkExecutor.
+     */
+    std::map<std::uint64_t, PeerHandlers::Reply> pendingReplies;
+    std::uint64_t lastReplyNumber = 0;
     std::set<InstanceId> seedIds;
     std::set<InstanceId> logReplicas;
     std::set<InstanceId> connected;
--- a/libs/cluster/src/cell_links.cpp
+++ b/libs/cluster/src/cell_links.cpp
@@ -112,10 +112,12 @@
 void CellLinks::stop()
 {
     std::set<std::shared_ptr<PendingRequest>> unanswered;
+    std::map<std::uint64_t, PeerHandlers::Reply> unsent;
     {
         const std::lock_guard lock(this->mutex);
         this->stopped = true;
         unanswered.swap(this->pendingRequests);
+        unsent.swap(this->pendingReplies);
     }
     this->network->stop();
 }
--- a/libs/cluster/src/cell_requests.cpp
+++ b/libs/cluster/src/cell_requests.cpp
@@ -211,7 +211,35 @@
 
 void CellLinks::onRequest(const std::string &frame, const PeerHandlers::Reply &reply)
 {
-    this->executor.post([this, frame, reply]() { this->serveFrame(frame, reply); });
+    std::uint64_t number = 0;
+    {
+        const std::lock_guard lock(this->mutex);
+        if (this->stopped) {
+            return;
+        }
+        number = ++this->lastReplyNumber;
+        this->pendingReplies.emplace(number, reply);
+    }
+    this->executor.post([this, frame, number]() {
+        this->serveFrame(frame, [this, number](std::string answer) {
+            this->answerRequest(number, std::move(answer));
+        });
+    });
+}
+
+void CellLinks::answerRequest(std::uint64_t number, std::string answer)
+{
+    PeerHandlers::Reply reply;
+    {
+        const std::lock_guard lock(this->mutex);
+        const auto found = this->pendingReplies.find(number);
+        if (found == this->pendingReplies.end()) {
+            return;
+        }
+        reply = std::move(found->second);
+        this->pendingReplies.erase(found);
+    }
+    reply(std::move(answer));
 }
 
 void CellLinks::serveFrame(const std::string &frame, const PeerHandlers::Reply &reply)
