Keep the list of nodes that ask the adviser between requests

Cause: for each request to the adviser and each answer, the leader copied the ids of all 152 linked nodes twice, some 1,600 times a second on the large site; an answer also searched all workers that the step may use once for each worker that it names. Change: the router keeps its list and updates it when a link changes; an answer removes its workers in one pass; the room of a worker stands beside its free capacity.

--- a/libs/cluster/include/cluster/advice_router.h
+++ b/libs/cluster/include/cluster/advice_router.h
@@ -2,6 +2,8 @@
 
 #include <map>
 #include <mutex>
+#include <optional>
+#include <vector>
 
 #include <cluster/cell_links.h>
 #include <dispatch/dispatch.h>
@@ -15,6 +17,8 @@
     /** Expected time until the adviser has answered the node's outstanding requests. */
     std::chrono::microseconds backlog{0};
     std::size_t pendingRequests = 0;
+    /** A node without a link may still have requests outstanding, but gets no new ones. */
+    bool reachable = true;
 };
 
 /**
@@ -40,11 +44,6 @@
 
 private:
     using Done = std::function<void(Result<AdviceReply>)>;
-    struct Load
-    {
-        std::chrono::microseconds backlog{0};
-        std::size_t pendingRequests = 0;
-    };
     struct PendingRequest
     {
         AdviceRequest request;
@@ -54,7 +53,12 @@
 
     /** Sends waiting requests, in order of priority, while a node is available. */
     void sendWaiting();
-    std::vector<NodeLoad> nodes() const;
+    /**
+     * Brings the list of nodes up to date with the links. Copying the nodes for each request would
+     * take more of a leader's processor time than the request itself.
+     */
+    void updateNodes() const;
+    NodeLoad *findNode(const InstanceId &node) const;
     /** Sends the request through the node. Wait is the expected time until its reply. */
     void sendTo(const InstanceId &node, const PendingRequest &pending,
                 std::chrono::microseconds wait);
@@ -62,8 +66,11 @@
 
     CellLinks &links;
     AdviserAccess &localAdviser;
-    std::mutex mutex; ///< Guards the members below.
-    std::map<InstanceId, Load> loads;
+    mutable std::mutex mutex; ///< Guards the members below.
+    /** This node, those that it has a link with, and those with outstanding requests. */
+    mutable std::vector<NodeLoad> nodes;
+    /** The state of the links that the list was made from. */
+    mutable std::optional<std::uint64_t> nodesVersion;
     /** By priority and arrival number. */
     std::map<std::pair<std::uint32_t, std::uint64_t>, PendingRequest> waiting;
     std::uint64_t lastArrival = 0;
--- a/libs/cluster/include/cluster/cell_links.h
+++ b/libs/cluster/include/cluster/cell_links.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <functional>
 #include <map>
 #include <memory>
@@ -59,6 +60,8 @@
     std::optional<Address> leaderReportAddress() const;
     /** Returns the nodes that this one has a link with. */
     std::set<InstanceId> connectedNodes() const;
+    /** Returns a number that rises with each change of connectedNodes(), to tell old copies. */
+    std::uint64_t connectionChanges() const;
 
     /**
      * Sends a request to the leader, which may be this node, and retries until the deadline, so the
@@ -151,6 +154,7 @@
     std::set<InstanceId> seedIds;
     std::set<InstanceId> logReplicas;
     std::set<InstanceId> connected;
+    std::atomic<std::uint64_t> changesOfConnected = 0;
     std::map<InstanceId, Address> configuredPeers;
     std::map<InstanceId, PendingJoin> joinRequests;
     LeaderInfo leaderInfo;
--- a/libs/cluster/src/advice_router.cpp
+++ b/libs/cluster/src/advice_router.cpp
@@ -21,9 +21,11 @@
 const NodeLoad *selectNode(const std::vector<NodeLoad> &nodes, std::chrono::microseconds cost)
 {
     const auto least = std::min_element(
-        nodes.begin(), nodes.end(),
-        [](const NodeLoad &left, const NodeLoad &right) { return left.backlog < right.backlog; });
-    if (least == nodes.end()
+        nodes.begin(), nodes.end(), [](const NodeLoad &left, const NodeLoad &right) {
+            return left.reachable != right.reachable ? left.reachable
+                                                     : left.backlog < right.backlog;
+        });
+    if (least == nodes.end() || !least->reachable
         || (least->pendingRequests > 0 && least->backlog + cost > maxSharedBacklog)) {
         return nullptr;
     }
@@ -36,20 +38,36 @@
 {
 }
 
-std::vector<NodeLoad> AdviceRouter::nodes() const
+void AdviceRouter::updateNodes() const
 {
+    const std::uint64_t version = this->links.connectionChanges();
+    if (this->nodesVersion == version) {
+        return;
+    }
     std::set<InstanceId> reachable = this->links.connectedNodes();
     reachable.insert(this->links.self());
-    std::vector<NodeLoad> found;
+    std::vector<NodeLoad> updated;
+    for (const NodeLoad &known : this->nodes) {
+        const bool linked = reachable.erase(known.node) > 0;
+        if (linked || known.pendingRequests > 0) {
+            updated.push_back(known);
+            updated.back().reachable = linked;
+        }
+    }
     for (const InstanceId &node : reachable) {
-        const auto load = this->loads.find(node);
-        found.push_back(load == this->loads.end()
-                            ? NodeLoad{.node = node, .backlog = {}, .pendingRequests = 0}
-                            : NodeLoad{.node = node,
-                                       .backlog = load->second.backlog,
-                                       .pendingRequests = load->second.pendingRequests});
+        NodeLoad added;
+        added.node = node;
+        updated.push_back(added);
     }
-    return found;
+    this->nodes = std::move(updated);
+    this->nodesVersion = version;
+}
+
+NodeLoad *AdviceRouter::findNode(const InstanceId &node) const
+{
+    const auto found = std::find_if(this->nodes.begin(), this->nodes.end(),
+                                    [&](const NodeLoad &known) { return known.node == node; });
+    return found == this->nodes.end() ? nullptr : &*found;
 }
 
 void AdviceRouter::advise(const AdviceRequest &request, std::chrono::microseconds cost, Done done)
@@ -65,7 +83,11 @@
 
 std::size_t AdviceRouter::senderCount() const
 {
-    return this->links.connectedNodes().size() + 1;
+    const std::lock_guard lock(this->mutex);
+    this->updateNodes();
+    return static_cast<std::size_t>(
+        std::count_if(this->nodes.begin(), this->nodes.end(),
+                      [](const NodeLoad &node) { return node.reachable; }));
 }
 
 void AdviceRouter::sendWaiting()
@@ -82,18 +104,16 @@
         if (this->waiting.empty()) {
             return;
         }
-        std::vector<NodeLoad> known = this->nodes();
+        this->updateNodes();
         while (!this->waiting.empty()) {
             const auto next = this->waiting.begin();
-            const NodeLoad *chosen = selectNode(known, next->second.cost);
+            const NodeLoad *chosen = selectNode(this->nodes, next->second.cost);
             if (chosen == nullptr) {
                 break;
             }
-            NodeLoad &changed = known[static_cast<std::size_t>(chosen - known.data())];
+            NodeLoad &changed = this->nodes[static_cast<std::size_t>(chosen - this->nodes.data())];
             changed.backlog += next->second.cost;
             ++changed.pendingRequests;
-            this->loads[changed.node]
-                = Load{.backlog = changed.backlog, .pendingRequests = changed.pendingRequests};
             sending.push_back(Sending{
                 .node = changed.node, .request = std::move(next->second), .wait = changed.backlog});
             this->waiting.erase(next);
@@ -108,9 +128,10 @@
 {
     {
         const std::lock_guard lock(this->mutex);
-        Load &load = this->loads[node];
-        load.backlog -= std::min(load.backlog, cost);
-        load.pendingRequests -= std::min<std::size_t>(load.pendingRequests, 1);
+        if (NodeLoad *load = this->findNode(node)) {
+            load->backlog -= std::min(load->backlog, cost);
+            load->pendingRequests -= std::min<std::size_t>(load->pendingRequests, 1);
+        }
     }
     this->sendWaiting();
 }
--- a/libs/cluster/src/cell_links.cpp
+++ b/libs/cluster/src/cell_links.cpp
@@ -75,6 +75,7 @@
             } else {
                 this->connected.erase(peer);
             }
+            ++this->changesOfConnected;
         }
         if (leaderLinked) {
             this->executor.post([this, peer]() { this->retryWithNewLeader(peer); });
@@ -200,6 +201,11 @@
     return this->connected;
 }
 
+std::uint64_t CellLinks::connectionChanges() const
+{
+    return this->changesOfConnected;
+}
+
 void CellLinks::onFrame(const InstanceId &from, const std::string &frame)
 {
     if (frame.empty()) {
--- a/libs/cluster/test/cluster_test.cpp
+++ b/libs/cluster/test/cluster_test.cpp
@@ -405,6 +405,20 @@
     BOOST_TEST(selectNode({}, 15ms) == nullptr);
 }
 
+// A node whose link broke while the adviser works for it gets no further requests.
+BOOST_AUTO_TEST_CASE(SelectsNoNodeWithoutALink)
+{
+    std::vector<NodeLoad> nodes{
+        {.node = InstanceId("a"), .backlog = 300ms, .pendingRequests = 1},
+        {.node = InstanceId("b"), .backlog = 0ms, .pendingRequests = 0, .reachable = false}};
+    BOOST_TEST(selectNode(nodes, 500ms) == nullptr);
+    nodes.front().pendingRequests = 0;
+    nodes.front().backlog = 0ms;
+    const NodeLoad *chosen = selectNode(nodes, 500ms);
+    BOOST_REQUIRE(chosen != nullptr);
+    BOOST_TEST((chosen->node == InstanceId("a")));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(NodeSettingsTest)
--- a/libs/dispatch/src/upstream_scheduler_placement.cpp
+++ b/libs/dispatch/src/upstream_scheduler_placement.cpp
@@ -3,6 +3,7 @@
 #include <dispatch/upstream_scheduler.h>
 
 #include <algorithm>
+#include <unordered_set>
 
 #include <dispatch/advice_candidates.h>
 #include <dispatch/step_urgency.h>
@@ -57,6 +58,7 @@
 {
     UpstreamWorker *worker = nullptr;
     Resources free;
+    RoomVersion roomGained = 0;
 };
 
 /** State of one placement pass. */
@@ -98,8 +100,8 @@
         worker.wasUsable = usable;
         if (usable) {
             pass.usableSlots.push_back(worker.slot);
-            pass.workersBySlot[worker.slot]
-                = UsableWorker{.worker = &worker, .free = freeCapacity(worker)};
+            pass.workersBySlot[worker.slot] = UsableWorker{
+                .worker = &worker, .free = freeCapacity(worker), .roomGained = worker.roomGained};
         }
     }
     pass.adviceSenders = this->context.adviser.senderCount();
@@ -202,7 +204,7 @@
     RoomVersion newest = 0;
     for (const AllowedWorker &allowed : step.allowed) {
         if (const auto *usable = pass.usableWorker(allowed.slot)) {
-            newest = std::max(newest, usable->worker->roomGained);
+            newest = std::max(newest, usable->roomGained);
         }
     }
     return newest;
@@ -546,16 +548,16 @@
     }
     const AdviceReply &reply = valueOf(result);
     step->lastFailedPlacement.reset();
+    std::unordered_set<std::uint32_t> answered;
     for (const InstanceId &id : request.workers) {
         const auto worker = this->workers.find(id);
-        if (worker == this->workers.end()) {
-            continue;
+        if (worker != this->workers.end()) {
+            answered.insert(worker->second.slot);
         }
-        const std::uint32_t slot = worker->second.slot;
-        step->queriedSlots.insert(slot);
-        std::erase_if(step->allowed,
-                      [slot](const AllowedWorker &known) { return known.slot == slot; });
     }
+    step->queriedSlots.insert(answered.begin(), answered.end());
+    std::erase_if(step->allowed,
+                  [&](const AllowedWorker &known) { return answered.contains(known.slot); });
     this->updateAllowedShare(first.workflow, request.workers.size(), reply.tickets.size());
     for (const AdviceTicket &ticket : reply.tickets) {
         const auto worker = this->workers.find(ticket.worker);
