Copy the key of a run before its end is reported in a test

The release build, which alone had run the new tests, read the freed memory without a sign. Change: the test copies the key.

--- a/libs/dispatch/test/backlog_test.cpp
+++ b/libs/dispatch/test/backlog_test.cpp
@@ -33,10 +33,12 @@
     /** Ends the filling task on a worker and returns the worker. */
     InstanceId endOneFilling()
     {
-        for (auto &[id, worker] : this->workers.workers) {
+        for (const auto &[id, worker] : this->workers.workers) {
             for (const auto &[task, run] : worker.running) {
                 if (task.workflow == this->filling) {
-                    this->workers.end(id, task, EndKind::Done);
+                    // Copied, since the worker's entry goes with the end.
+                    const TaskKey ended = task;
+                    this->workers.end(id, ended, EndKind::Done);
                     return id;
                 }
             }
