Queue all requests before the message in the test of the link's order

The sender's threads wrote requests while the test queued them; where they kept up, 3,900 requests had been written before the message was queued, which is allowed. So the check depended on the speed of both threads. Change: the sender's threads wait until all requests and the message are queued, and the message has to be the first frame at the receiver. The old bound was three quarters of the requests. With messages in the queue of the requests the test fails.

--- a/libs/link/test/peer_network_test.cpp
+++ b/libs/link/test/peer_network_test.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <future>
+#include <latch>
 #include <vector>
 
 #include "awaitable.h"
@@ -43,6 +45,8 @@
 /** An instance that replies to each request with the request in brackets. */
 struct TestInstance
 {
+    static constexpr unsigned threads = 2;
+
     explicit TestInstance(PeerNetworkSettings settings)
         : network(this->executor, std::move(settings), this->handlers())
     {
@@ -118,7 +122,7 @@
         return {};
     }
 
-    Executor executor{2};
+    Executor executor{threads};
     Awaitable<Observed> observed;
     Address address;
     PeerNetwork network;
@@ -466,17 +470,28 @@
     BOOST_REQUIRE(sender.awaitLink(beta, true));
     constexpr std::size_t requests = 4000;
     const std::string padding(1000, 'x');
+    // The sender's threads wait meanwhile, so that all requests are queued and none is written.
+    std::promise<void> released;
+    const std::shared_future<void> release = released.get_future().share();
+    std::latch waiting(TestInstance::threads);
+    for (unsigned thread = 0; thread < TestInstance::threads; ++thread) {
+        sender.executor.post([&waiting, release]() {
+            waiting.count_down();
+            release.wait();
+        });
+    }
+    waiting.wait();
     for (std::size_t i = 0; i < requests; ++i) {
         sender.call(beta, padding);
     }
     BOOST_TEST(sender.network.send(beta, "message"));
+    released.set_value();
     BOOST_REQUIRE(receiver.awaitFrame("message"));
     const Observed seen = receiver.observed.get();
     const auto message = std::find_if(seen.frames.begin(), seen.frames.end(),
                                       [](const auto &entry) { return entry.second == "message"; });
-    // Requests that were written or received before the message was queued come first.
-    const auto position = static_cast<std::size_t>(message - seen.frames.begin());
-    BOOST_TEST(position < requests * 3 / 4);
+    BOOST_TEST((message == seen.frames.begin()),
+               message - seen.frames.begin() << " requests came before the message");
     BOOST_REQUIRE(receiver.observed.waitFor(
         testTimeout, [](const Observed &now) { return now.frames.size() == requests + 1; }));
 }
