--- a/review/1/case.py
+++ b/review/1/case.py
@@ -13,6 +13,8 @@
 
 ID = "fffffffffffffff6"
 TASK = f"{ID}.0.0.0"
+# One worker of these stays within the shares of workers that leave and that are cut at once.
+WORKERS = 16
 # "some seconds later"
 PATIENCE_S = 2.5
 # The uncertainty of the times that this process takes.
@@ -73,7 +75,7 @@
     cell.submit(ID, {"spec": "s", "steps": [{"count": 1, "cpu": 2000, "mem_mb": 1000,
                                              "estimate_ms": 9000}]})
     wait_until(lambda: cell.is_running(TASK), 10, "the task runs")
-    for n in (1, 2, 3):
+    for n in range(1, WORKERS):
         Worker(cell, f"worker-{n}", n, cpu=8000).start()
     time.sleep(1.0)
     leaving.state = "draining"
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -19,9 +19,9 @@
 
 def case(cell):
     cell.start()
-    # Two of six workers are of the kind that the tasks need.
+    # Two of eight workers are of the kind that the tasks need.
     workers = [Worker(cell, f"worker-{n}", n, cpu=16000, labels=[LABEL if n < 2 else "a", "r1"])
-               for n in range(6)]
+               for n in range(8)]
     for worker in workers:
         worker.start()
     cell.await_traffic()
--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -120,15 +120,30 @@
 
     def __init__(self, address, owner):
         self.owner = owner
+        self.connections = set()
         super().__init__(address, Handler)
         threading.Thread(target=self.serve_forever, args=(0.05,), daemon=True).start()
 
     def handle_error(self, request, client_address):
         pass  # Connections of killed processes break.
 
+    def process_request(self, request, client_address):
+        self.connections.add(request)
+        super().process_request(request, client_address)
+
+    def shutdown_request(self, request):
+        self.connections.discard(request)
+        super().shutdown_request(request)
+
     def close(self):
+        """Closes everything, as the end of the process would."""
+        self.socket.close()
+        for connection in list(self.connections):
+            try:
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
         self.shutdown()
-        self.server_close()
 
 
 class Link:
