--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -765,6 +765,11 @@
             cell.record.add(f"RESULT: the case could not run: {reason}")
         else:
             print(f"the case could not run: {reason}")
+    except Exception as error:  # Python itself would exit with 1, which means a broken rule.
+        if cell is not None:
+            cell.record.add(f"RESULT: the case could not run: {error!r}")
+        else:
+            print(f"the case could not run: {error!r}")
     finally:
         if cell is not None:
             cell.close()
