Keep the runs of a leaving worker until they are known to have ended

Callers saw a task of a leaving worker run twice (TWICE, review/1): a worker that deregisters and gets no confirmation goes on for seconds, and its tasks started elsewhere some 10 ms after the deregistration had arrived.

Cause: a deregistration was handled like a restart, which proves that the runs of the earlier incarnation have ended. One leader later, an assignment to a worker that was no longer in the replicated state was dropped as well.

The worker now keeps its runs until it has reported their ends, has restarted, or its lease has ended. Its runs are stopped at once, so that a worker that still answers gives their checkpoints, and renewals no longer extend its lease. A new leader holds assignments to workers that have left until the longest lease is over. A delayed heartbeat of an incarnation that has left does not bring it back into use.

--- a/libs/dispatch/include/dispatch/upstream_scheduler.h
+++ b/libs/dispatch/include/dispatch/upstream_scheduler.h
@@ -76,7 +76,10 @@
     /** A heartbeat arrived. Clock is the worker's time when it was sent. */
     void heartbeatReceived(const InstanceId &id, WorkerIncarnation incarnation,
                            std::optional<WorkerTime> clock);
-    /** The worker has left for good, and all of its runs have ended. */
+    /**
+     * The worker has deregistered. It may go on for seconds, so its runs are stopped, and a task
+     * runs again only once the worker has reported the end of its run or its lease has ended.
+     */
     void workerLeft(const InstanceId &id, WorkerIncarnation incarnation);
     /**
      * Reloads the configuration and the evacuated failure domains, and schedules a placement pass.
@@ -101,6 +104,8 @@
 
     // upstream_scheduler.cpp: workflows and tasks.
     LiveWorkflow &createWorkflow(const WorkflowRecord &workflow);
+    /** Adds a run that an earlier leader has stored and that may be executing. */
+    void recoverRun(LiveWorkflow &workflow, const TaskKey &key, const StoredTask &stored);
     /** Creates the occurrences of the workflow that are due. */
     void beginOccurrences(LiveWorkflow &workflow, Effects &effects);
     LiveOccurrence newOccurrence(const LiveWorkflow &workflow) const;
@@ -119,6 +124,13 @@
     void onLeaseRenewalReply(const InstanceId &id, WorkerIncarnation incarnation, SteadyTime sentAt,
                              const Result<LeaseRenewalReply> &result, Effects &effects);
     void recordClock(UpstreamWorker &worker, WorkerTime clock, SteadyTime at);
+    /** Sets up a worker that an earlier leader may have given a lease. */
+    void recoverWorker(UpstreamWorker &worker, const WorkerRecord &record);
+    /**
+     * Returns the worker that the run is stored for. If it is no longer in the replicated state, it
+     * has left, and an entry is added that holds the run until the worker's lease has ended.
+     */
+    UpstreamWorker &recoveredWorker(const StoredTask &run);
     /** Resets the worker for a new incarnation and releases runs that ended with the old one. */
     void beginIncarnation(UpstreamWorker &worker, const WorkerRecord &record, Effects &effects);
     /** Updates the run from the worker's report. Returns false if the scheduler has no such run. */
--- a/libs/dispatch/include/dispatch/upstream_worker.h
+++ b/libs/dispatch/include/dispatch/upstream_worker.h
@@ -79,6 +79,11 @@
     bool fenceConfirmed = false;
     /** Restarts of the worker that this leader has learned of; part of its fencing token. */
     std::uint32_t restarts = 0;
+    /**
+     * This incarnation has deregistered. It gets no new tasks and no longer lease, but it may go on
+     * for seconds, so its runs count until they are known to have ended.
+     */
+    bool left = false;
     bool renewalInFlight = false;
     bool renewalScheduled = false;
     /** The last lease renewal got no answer. */
--- a/libs/dispatch/src/upstream_scheduler.cpp
+++ b/libs/dispatch/src/upstream_scheduler.cpp
@@ -200,28 +200,12 @@
                     ++occurrence[step].done;
                     --occurrence[step].waiting;
                 } else if (state.phase == StoredTaskPhase::Assigned) {
-                    const TaskKey key{.workflow = workflow.id,
-                                      .occurrence = number,
-                                      .step = step,
-                                      .index = index};
-                    const StepSpec &spec = live.spec->steps[step];
-                    const auto found = this->workers.find(state.worker);
-                    // The worker has restarted or is gone, so the run ended with its incarnation.
-                    if (found == this->workers.end()
-                        || found->second.record.incarnation != state.incarnation) {
-                        continue;
-                    }
-                    LiveRun run;
-                    run.number = state.run;
-                    run.phase = RunPhase::Recovered;
-                    run.worker = state.worker;
-                    run.since = this->context.clock.steadyNow();
-                    run.checkpoint = state.checkpoint;
-                    task.run = run;
-                    --occurrence[step].waiting;
-                    ++live.activeRuns;
-                    this->context.ledger->reserve(live.customer, spec.size);
-                    this->reserve(found->second, key, spec, state.run);
+                    this->recoverRun(live,
+                                     TaskKey{.workflow = workflow.id,
+                                             .occurrence = number,
+                                             .step = step,
+                                             .index = index},
+                                     state);
                 }
             }
         }
@@ -233,6 +217,29 @@
     this->placementScheduled = false;
 }
 
+void UpstreamScheduler::recoverRun(LiveWorkflow &workflow, const TaskKey &key,
+                                   const StoredTask &stored)
+{
+    UpstreamWorker &worker = this->recoveredWorker(stored);
+    if (worker.record.incarnation != stored.incarnation) {
+        // The worker has restarted, so the run ended with its incarnation.
+        return;
+    }
+    LiveStep &step = workflow.occurrences.at(key.occurrence)[key.step];
+    LiveRun run;
+    run.number = stored.run;
+    run.phase = RunPhase::Recovered;
+    run.worker = stored.worker;
+    run.since = this->context.clock.steadyNow();
+    run.checkpoint = stored.checkpoint;
+    step.tasks[key.index].run = run;
+    --step.waiting;
+    ++workflow.activeRuns;
+    const StepSpec &spec = workflow.spec->steps[key.step];
+    this->context.ledger->reserve(workflow.customer, spec.size);
+    this->reserve(worker, key, spec, stored.run);
+}
+
 void UpstreamScheduler::stopWorkflow(const WorkflowId &id)
 {
     this->runLocked([&](Effects &effects) {
--- a/libs/dispatch/src/upstream_scheduler_runs.cpp
+++ b/libs/dispatch/src/upstream_scheduler_runs.cpp
@@ -216,9 +216,10 @@
 {
     run.stopRequested = true;
     const auto worker = this->workers.find(run.worker);
-    // A run whose assignment is being stored is released once the outcome is known.
+    // A run whose assignment is being stored is released once the outcome is known. The address of
+    // a worker that left before this term is not known.
     if (run.phase == RunPhase::Proposed || run.phase == RunPhase::Ending || run.stopInFlight
-        || worker == this->workers.end()) {
+        || worker == this->workers.end() || worker->second.record.address.host.empty()) {
         return;
     }
     run.stopInFlight = true;
--- a/libs/dispatch/src/upstream_scheduler_workers.cpp
+++ b/libs/dispatch/src/upstream_scheduler_workers.cpp
@@ -30,16 +30,37 @@
 void UpstreamScheduler::recoverWorker(const WorkerRecord &worker)
 {
     const std::lock_guard lock(this->mutex);
-    UpstreamWorker &known = this->workers[worker.id];
-    known.record = worker;
-    known.slot = ++this->lastSlotNumber;
-    known.lastContact = this->context.clock.steadyNow();
+    this->recoverWorker(this->workers[worker.id], worker);
+}
+
+void UpstreamScheduler::recoverWorker(UpstreamWorker &worker, const WorkerRecord &record)
+{
+    worker.record = record;
+    worker.slot = ++this->lastSlotNumber;
+    worker.lastContact = this->context.clock.steadyNow();
     // An earlier leader may have granted a lease just before this term began.
     const std::chrono::duration<double, std::milli> longest(this->settings.workerLease);
-    known.leaseExpiresBy = known.lastContact
+    worker.leaseExpiresBy = worker.lastContact
         + std::chrono::duration_cast<Duration>(longest / (1.0 - maxWorkerClockLag));
 }
 
+UpstreamWorker &UpstreamScheduler::recoveredWorker(const StoredTask &run)
+{
+    const auto [found, added] = this->workers.try_emplace(run.worker);
+    if (added) {
+        WorkerRecord record;
+        record.id = run.worker;
+        record.incarnation = run.incarnation;
+        record.upstream = this->upstream;
+        record.draining = true;
+        this->recoverWorker(found->second, record);
+        found->second.left = true;
+        // Without an address, it can't be asked for its runs.
+        found->second.lastContact = SteadyTime{};
+    }
+    return found->second;
+}
+
 void UpstreamScheduler::workerChanged(const WorkerRecord &record)
 {
     this->runLocked([&](Effects &effects) {
@@ -52,6 +73,8 @@
             this->beginIncarnation(worker, record, effects);
         }
         worker.record = record;
+        // A heartbeat of an incarnation that has deregistered was delayed on its way.
+        worker.record.draining = record.draining || worker.left;
         worker.lastContact = this->context.clock.steadyNow();
         this->recordRoomGained(worker);
         // A later incarnation at the same address proves that this worker's incarnation has ended.
@@ -80,6 +103,7 @@
     worker.acknowledgedEnds = 0;
     worker.unstoredEnds.clear();
     worker.fenceConfirmed = false;
+    worker.left = false;
     ++worker.restarts;
     worker.failuresInRow = 0;
     worker.lastRenewalFailed = false;
@@ -139,12 +163,23 @@
             return;
         }
         UpstreamWorker &worker = found->second;
-        this->beginIncarnation(worker, worker.record, effects);
+        worker.left = true;
         worker.record.draining = true;
-        worker.lastContact = SteadyTime{};
-        if (worker.runs.empty()) {
-            this->workers.erase(found);
+        spdlog::info("event=worker-left worker={} runs={} orphaned={}", id.value,
+                     worker.runs.size(), worker.orphanedRuns.size());
+        for (const auto &[key, number] : worker.runs) {
+            LiveTask *task = this->findTask(key);
+            if (task == nullptr || !task->run) {
+                continue;
+            }
+            if (task->run->phase == RunPhase::Ordered
+                || task->run->phase == RunPhase::OutcomeUnknown) {
+                // The worker may restart under the same id, and then take the start.
+                worker.delayedOrdersUntil = this->context.clock.steadyNow() + maxOrderDelay;
+            }
+            this->requestStop(key, *task->run, effects);
         }
+        this->renewLeaseIfNeeded(worker, effects);
     });
 }
 
@@ -178,10 +213,12 @@
                                 : std::chrono::milliseconds(0)};
     if (worker.clock) {
         // A lease that an unresponsive worker may have received delays running its tasks elsewhere,
-        // so the lease is extended only while the worker answers.
-        order.leaseEnd = worker.lastRenewalFailed && worker.leaseGranted > WorkerTime{}
-            ? worker.leaseGranted
-            : earliestWorkerTime(*worker.clock, now) + this->settings.workerLease;
+        // so the lease is extended only while the worker answers, and not once it leaves.
+        const bool extends
+            = !worker.left && (!worker.lastRenewalFailed || worker.leaseGranted == WorkerTime{});
+        order.leaseEnd = extends
+            ? earliestWorkerTime(*worker.clock, now) + this->settings.workerLease
+            : worker.leaseGranted;
         worker.leaseGranted = std::max(worker.leaseGranted, order.leaseEnd);
         worker.leaseExpiresBy = std::max(worker.leaseExpiresBy,
                                          latestLeaseExpiry(*worker.clock, worker.leaseGranted));
@@ -505,7 +542,7 @@
             }
         }
         if (worker.runs.empty() && worker.orphanedRuns.empty()
-            && now - worker.lastContact > this->settings.forgetTimeout) {
+            && (worker.left || now - worker.lastContact > this->settings.forgetTimeout)) {
             removed.push_back(id);
         }
         if (worker.slot % stopCheckTicks != this->ticks % stopCheckTicks) {
--- a/libs/dispatch/test/dispatch_fixture.cpp
+++ b/libs/dispatch/test/dispatch_fixture.cpp
@@ -364,6 +364,13 @@
     this->dispatcher.workerAnnounced(record);
 }
 
+void DispatchFixture::deregister(const InstanceId &id)
+{
+    const WorkerIncarnation incarnation = this->workers.workers[id].record.incarnation;
+    this->apply(ForgetWorker{.id = id, .incarnation = incarnation});
+    this->dispatcher.workerForgotten(id, incarnation);
+}
+
 void DispatchFixture::evacuate(const std::string &domain, bool evacuated)
 {
     this->apply(SetEvacuation{.domain = FailureDomainId(domain), .evacuated = evacuated});
--- a/libs/dispatch/test/dispatch_fixture.h
+++ b/libs/dispatch/test/dispatch_fixture.h
@@ -187,6 +187,8 @@
                       const std::string &customer = "customer", const std::string &queue = "queue");
     void cancel(const WorkflowId &id);
     void announce(const InstanceId &id, const std::function<void(WorkerRecord &)> &change);
+    /** Applies the worker's notice that it leaves; the worker itself goes on. */
+    void deregister(const InstanceId &id);
     void evacuate(const std::string &domain, bool evacuated);
     /** Ends the leader's term and begins another one on the same state. */
     void changeLeader();
