Let a worker's report settle the runs that a new leader recovers

Cause: a worker had restarted without the earlier leader's knowledge and had carried out starts in its new incarnation. The new leader released the runs that it had read from the log as runs of the earlier incarnation before it looked at the report that listed them; if the restart was stored before its term, it dropped them without a report.

Recovered runs now outlive a change of incarnation until a report of the worker settles them. Its fence keeps delayed starts of earlier leaders out. Without a report from a restarted worker they wait for delayed orders, as other starts of unknown outcome do.

--- a/libs/dispatch/src/upstream_scheduler.cpp
+++ b/libs/dispatch/src/upstream_scheduler.cpp
@@ -220,11 +220,6 @@
 void UpstreamScheduler::recoverRun(LiveWorkflow &workflow, const TaskKey &key,
                                    const StoredTask &stored)
 {
-    UpstreamWorker &worker = this->recoveredWorker(stored);
-    if (worker.record.incarnation != stored.incarnation) {
-        // The worker has restarted, so the run ended with its incarnation.
-        return;
-    }
     LiveStep &step = workflow.occurrences.at(key.occurrence)[key.step];
     LiveRun run;
     run.number = stored.run;
@@ -237,7 +232,7 @@
     ++workflow.activeRuns;
     const StepSpec &spec = workflow.spec->steps[key.step];
     this->context.ledger->reserve(workflow.customer, spec.size);
-    this->reserve(worker, key, spec, stored.run);
+    this->reserve(this->recoveredWorker(stored), key, spec, stored.run);
 }
 
 void UpstreamScheduler::stopWorkflow(const WorkflowId &id)
--- a/libs/dispatch/src/upstream_scheduler_workers.cpp
+++ b/libs/dispatch/src/upstream_scheduler_workers.cpp
@@ -47,18 +47,22 @@
 UpstreamWorker &UpstreamScheduler::recoveredWorker(const StoredTask &run)
 {
     const auto [found, added] = this->workers.try_emplace(run.worker);
+    UpstreamWorker &worker = found->second;
     if (added) {
         WorkerRecord record;
         record.id = run.worker;
         record.incarnation = run.incarnation;
         record.upstream = this->upstream;
         record.draining = true;
-        this->recoverWorker(found->second, record);
-        found->second.left = true;
+        this->recoverWorker(worker, record);
+        worker.left = true;
         // Without an address, it can't be asked for its runs.
-        found->second.lastContact = SteadyTime{};
+        worker.lastContact = SteadyTime{};
+    } else if (worker.record.incarnation != run.incarnation) {
+        // The start may have reached the later incarnation, or may still do so.
+        worker.delayedOrdersUntil = this->context.clock.steadyNow() + maxOrderDelay;
     }
-    return found->second;
+    return worker;
 }
 
 void UpstreamScheduler::workerChanged(const WorkerRecord &record)
@@ -113,6 +117,12 @@
         if (task == nullptr || !task->run || task->run->phase == RunPhase::Ending) {
             continue;
         }
+        if (task->run->phase == RunPhase::Recovered) {
+            // The earlier leader's start may have reached the new incarnation, whose next report
+            // tells.
+            worker.delayedOrdersUntil = now + maxOrderDelay;
+            continue;
+        }
         // The answer to a start does not tell which incarnation of the worker gave it.
         const bool incarnationUnknown
             = task->run->phase == RunPhase::Running && !task->run->reported;
@@ -530,9 +540,12 @@
             for (const auto &[key, number] : runs) {
                 LiveTask *task = this->findTask(key);
                 if (task == nullptr || !task->run || task->run->phase == RunPhase::Ending
-                    || task->run->phase == RunPhase::Proposed
-                    || (task->run->phase == RunPhase::OutcomeUnknown
-                        && now <= worker.delayedOrdersUntil)) {
+                    || task->run->phase == RunPhase::Proposed) {
+                    continue;
+                }
+                const bool startMayBeDelayed = task->run->phase == RunPhase::OutcomeUnknown
+                    || task->run->phase == RunPhase::Recovered;
+                if (startMayBeDelayed && now <= worker.delayedOrdersUntil) {
                     continue;
                 }
                 spdlog::info("event=run-lost task={} run={} worker={} reason=lease-over",
--- /dev/null
+++ b/libs/dispatch/test/recovery_test.cpp
@@ -0,0 +1,110 @@
+// Tests of a new leader that recovers runs on workers whose restart the earlier leader had not
+// learned of when it sent the starts. The worker's next incarnation may have carried them out.
+
+#include <boost/test/unit_test.hpp>
+
+#include "dispatch_fixture.h"
+
+using namespace gooseberry;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** Two workers restart unnoticed, and one of them then carries out the start of the only task. */
+struct RecoveryFixture : DispatchFixture
+{
+    RecoveryFixture()
+    {
+        this->workers.acceptsAnyIncarnation = true;
+        this->log.commitsPaused = true;
+        const WorkflowId id = this->submit("a", {DispatchFixture::step(1)});
+        this->key = DispatchFixture::task(id, 0);
+        this->run(100ms);
+        for (auto &[worker, fake] : this->workers.workers) {
+            fake.record.incarnation += 5s;
+            fake.lastEnd = 0;
+            fake.fence = FencingToken(0);
+            fake.renewalsUnanswered = true;
+        }
+        this->run(100ms);
+        this->log.commitsPaused = false;
+        this->log.commitPending();
+        this->timers.advance(5ms);
+        for (auto &[worker, fake] : this->workers.workers) {
+            fake.renewalsUnanswered = false;
+            if (fake.running.contains(this->key)) {
+                this->holder = &fake;
+            }
+        }
+        BOOST_REQUIRE(this->holder != nullptr);
+    }
+
+    std::size_t startCount() const
+    {
+        std::size_t starts = 0;
+        for (const auto &[id, worker] : this->workers.workers) {
+            starts += worker.starts;
+        }
+        return starts;
+    }
+
+    TaskKey key;
+    FakeWorker *holder = nullptr;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(RecoveryTest, RecoveryFixture)
+
+// Guards against a second run: the new leader learns of the restart from the report that lists the
+// run, and must not take the run for one of the earlier incarnation.
+BOOST_AUTO_TEST_CASE(KeepsARunThatTheReportOfAnUnknownRestartLists)
+{
+    this->changeLeader();
+    this->run(2000ms);
+    BOOST_TEST(this->startCount() == 1U);
+    BOOST_TEST(this->holder->running.contains(this->key));
+    BOOST_TEST(this->workers.violations.empty());
+}
+
+// Guards against the same second run if the restart was stored before the new leader began: the
+// stored assignment then names an earlier incarnation than the worker's record.
+BOOST_AUTO_TEST_CASE(KeepsARunWhoseWorkerAnnouncedItsRestartBeforeTheTerm)
+{
+    this->dispatcher.endTerm();
+    this->announce(this->holder->record.id, [](WorkerRecord &) {});
+    this->changeLeader();
+    this->run(2000ms);
+    BOOST_TEST(this->startCount() == 1U);
+    BOOST_TEST(this->holder->running.contains(this->key));
+    BOOST_TEST(this->workers.violations.empty());
+}
+
+// Guards against a second run while the restarted worker does not respond: the lease in the start
+// was a time on the clock of the earlier incarnation and ends later on the new clock.
+BOOST_AUTO_TEST_CASE(WaitsForDelayedOrdersIfTheRestartedWorkerDoesNotRespond)
+{
+    this->dispatcher.endTerm();
+    this->announce(this->holder->record.id, [](WorkerRecord &) {});
+    this->holder->unresponsive = true;
+    this->changeLeader();
+    this->run(9000ms);
+    BOOST_TEST(this->startCount() == 1U);
+    this->holder->running.clear();
+    this->run(9000ms);
+    BOOST_TEST(this->startCount() == 2U);
+    BOOST_TEST(this->workers.violations.empty());
+}
+
+// Guards against waiting for a run that has ended with the worker's earlier incarnation: the report
+// of the next one shows at once that the run is gone.
+BOOST_AUTO_TEST_CASE(ReschedulesARunThatTheReportOfTheRestartDoesNotList)
+{
+    this->holder->running.clear();
+    this->changeLeader();
+    this->run(500ms);
+    BOOST_TEST(this->startCount() == 2U);
+    BOOST_TEST(this->workers.violations.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
