--- a/libs/dispatch/include/dispatch/live_workflow.h
+++ b/libs/dispatch/include/dispatch/live_workflow.h
@@ -92,7 +92,7 @@
     WorkflowId id;
     std::string queue;
     CustomerId customer;
-    /** The rules in force for the queue and the customer; null if the configuration has none. */
+    /** The rules in force for the queue and the customer; null if there never were any. */
     const QueueRule *queueRule = nullptr;
     const CustomerRule *customerRule = nullptr;
     std::shared_ptr<const WorkflowSpec> spec;
--- a/libs/dispatch/include/dispatch/upstream_scheduler.h
+++ b/libs/dispatch/include/dispatch/upstream_scheduler.h
@@ -276,8 +276,8 @@
      */
     std::set<WorkflowId> possiblyFinished;
     std::set<FailureDomainId> evacuatedDomains;
-    std::shared_ptr<const RoutingConfig> config;
-    /** The rules of the configuration by name. */
+    std::shared_ptr<const RulesInForce> rules;
+    /** The rules for accepted work, by the name under which it was accepted. */
     std::unordered_map<std::string, const QueueRule *> queueRules;
     std::unordered_map<std::string, const CustomerRule *> customerRules;
 };
--- a/libs/dispatch/src/upstream_scheduler.cpp
+++ b/libs/dispatch/src/upstream_scheduler.cpp
@@ -304,16 +304,23 @@
 void UpstreamScheduler::loadConfiguration()
 {
     this->evacuatedDomains = this->context.state.evacuated();
-    this->config = this->context.state.config();
+    this->rules = this->context.state.rules();
     this->queueRules.clear();
     this->customerRules.clear();
-    if (this->config != nullptr) {
-        for (const QueueRule &queue : this->config->queues) {
+    if (this->rules != nullptr) {
+        for (const QueueRule &queue : this->rules->config->queues) {
             this->queueRules.emplace(queue.name, &queue);
         }
-        for (const CustomerRule &customer : this->config->customers) {
+        for (const RetiredQueue &queue : this->rules->retiredQueues) {
+            this->queueRules.emplace(queue.rule.name,
+                                     findQueueOfWork(*this->rules, queue.rule.name));
+        }
+        for (const CustomerRule &customer : this->rules->config->customers) {
             this->customerRules.emplace(customer.id.value, &customer);
         }
+        for (const RetiredCustomer &customer : this->rules->retiredCustomers) {
+            this->customerRules.emplace(customer.rule.id.value, &customer.rule);
+        }
     }
     for (auto &[id, workflow] : this->workflows) {
         this->findRules(workflow);
--- a/libs/dispatch/src/upstream_scheduler_placement.cpp
+++ b/libs/dispatch/src/upstream_scheduler_placement.cpp
@@ -116,7 +116,7 @@
     this->placementScheduled = false;
     const SteadyTime now = this->context.clock.steadyNow();
     this->lastPlacement = now;
-    if (this->config == nullptr || this->workflows.empty()) {
+    if (this->rules == nullptr || this->workflows.empty()) {
         return;
     }
     PlacementPass pass = this->beginPlacementPass(now);
@@ -413,7 +413,8 @@
     spdlog::info("event=placed workflow={} occurrence={} step={} tasks={} waiting={} run={} "
                  "slack={}ms config={}",
                  readyStep.workflow->id.value, readyStep.occurrence, readyStep.stepNumber, placed,
-                 readyStep.step->waiting, run.value, slack.count(), this->config->version.value);
+                 readyStep.step->waiting, run.value, slack.count(),
+                 this->rules->config->version.value);
 }
 
 void UpstreamScheduler::sortByFreeCpu(PlacementPass &pass)
--- a/libs/dispatch/src/upstream_scheduler_runs.cpp
+++ b/libs/dispatch/src/upstream_scheduler_runs.cpp
@@ -25,6 +25,11 @@
 constexpr std::chrono::milliseconds failedTaskDelay{100};
 /** Delay before a task whose start could not be sent is placed again. */
 constexpr std::chrono::milliseconds unsentStartDelay{50};
+/**
+ * Delay before a task is placed again that needs a ticket although its queue names no adviser. Only
+ * a change of the configuration helps, so frequent attempts are of no use.
+ */
+constexpr std::chrono::milliseconds missingAdviserDelay{1000};
 /** Delay before a stop that got no answer is sent again. */
 constexpr std::chrono::milliseconds stopRetryDelay{300};
 
@@ -200,12 +205,16 @@
         this->avoidWorker(worker->second, initialAvoidance, reason);
     }
     if (ok(result) && valueOf(result).result == StartResult::NoTicket) {
+        LiveWorkflow *workflow = nullptr;
         LiveStep *step = nullptr;
-        this->findTask(key, nullptr, &step);
+        this->findTask(key, &workflow, &step);
         std::erase_if(step->allowed, [&](const AllowedWorker &allowed) {
             return allowed.slot == worker->second.slot;
         });
         step->queriedSlots.erase(worker->second.slot);
+        if (workflow->queueRule == nullptr || !workflow->queueRule->advice) {
+            task->notBefore = this->context.clock.steadyNow() + missingAdviserDelay;
+        }
     }
     this->stopGang(key, run, effects);
     this->releaseRun(key, effects);
--- a/libs/workflow/include/workflow/records.h
+++ b/libs/workflow/include/workflow/records.h
@@ -147,6 +147,18 @@
     codec(value.tasks, value.done, value.gangFailures, value.lastFailedRun);
 }
 
+template<typename Codec>
+void fields(Codec &codec, RetiredQueue &value)
+{
+    codec(value.rule, value.retiredAt);
+}
+
+template<typename Codec>
+void fields(Codec &codec, RetiredCustomer &value)
+{
+    codec(value.rule, value.retiredAt);
+}
+
 /** A workflow as stored in a snapshot. */
 struct StoredWorkflow
 {
@@ -166,18 +178,24 @@
 /** The whole replicated state as stored in a snapshot. */
 struct StoredState
 {
-    std::uint32_t version = 1;
+    /** Version 1 has no retired queues and customers. */
+    std::uint32_t version = 2;
     CellTime now;
     std::optional<RoutingConfig> config;
     std::set<FailureDomainId> evacuated;
     std::map<InstanceId, WorkerRecord> workers;
     std::vector<StoredWorkflow> workflows;
+    std::vector<RetiredQueue> retiredQueues;
+    std::vector<RetiredCustomer> retiredCustomers;
 };
 
 template<typename Codec>
 void fields(Codec &codec, StoredState &value)
 {
     codec(value.version, value.now, value.config, value.evacuated, value.workers, value.workflows);
+    if (value.version >= 2) {
+        codec(value.retiredQueues, value.retiredCustomers);
+    }
 }
 
 } // namespace gooseberry
--- a/libs/workflow/include/workflow/workflow.h
+++ b/libs/workflow/include/workflow/workflow.h
@@ -6,5 +6,6 @@
 #include <workflow/command.h>
 #include <workflow/records.h>
 #include <workflow/routing_config.h>
+#include <workflow/rules_in_force.h>
 #include <workflow/workflow_spec.h>
 #include <workflow/workflow_state.h>
--- a/libs/workflow/include/workflow/workflow_state.h
+++ b/libs/workflow/include/workflow/workflow_state.h
@@ -10,6 +10,7 @@
 #include <unordered_map>
 
 #include <workflow/command.h>
+#include <workflow/rules_in_force.h>
 
 namespace gooseberry {
 
@@ -104,8 +105,13 @@
 
     /** Returns the active configuration, or null before the first one. */
     std::shared_ptr<const RoutingConfig> config() const;
+    /** Returns the rules for accepted work, or null before the first configuration. */
+    std::shared_ptr<const RulesInForce> rules() const;
     std::optional<WorkflowStatus> status(const WorkflowId &id) const;
-    /** Returns the number of accepted workflows of the queue that have not started a task. */
+    /**
+     * Returns the number of accepted workflows that have not started a task and for which the rule
+     * of the named queue applies.
+     */
     std::size_t queuedCount(const std::string &queue) const;
     std::set<FailureDomainId> evacuated() const;
     std::map<InstanceId, WorkerRecord> workers() const;
@@ -140,6 +146,7 @@
     CommandOutcome execute(const AnnounceWorker &command);
     CommandOutcome execute(const ForgetWorker &command);
 
+    NamesInUse namesInUse() const;
     Shard &shardOf(const WorkflowId &id);
     const Shard &shardOf(const WorkflowId &id) const;
     bool assign(Shard &shard, const RunAssignment &assignment);
@@ -160,7 +167,7 @@
     std::array<Shard, shardCount> shards;
 
     mutable std::mutex cellMutex; ///< Guards the members below.
-    std::shared_ptr<const RoutingConfig> activeConfig;
+    std::shared_ptr<const RulesInForce> rulesInForce;
     std::set<FailureDomainId> evacuatedDomains;
     std::map<InstanceId, WorkerRecord> knownWorkers;
     CellTime now;
--- a/libs/workflow/src/workflow_state.cpp
+++ b/libs/workflow/src/workflow_state.cpp
@@ -81,16 +81,29 @@
 
 CommandOutcome WorkflowState::execute(const PutConfig &command)
 {
+    const NamesInUse used = this->namesInUse();
     const std::lock_guard lock(this->cellMutex);
     CommandOutcome outcome;
-    outcome.changed
-        = this->activeConfig == nullptr || command.config.version > this->activeConfig->version;
+    const RulesInForce current
+        = this->rulesInForce == nullptr ? RulesInForce{} : *this->rulesInForce;
+    outcome.changed = current.config == nullptr || command.config.version > current.config->version;
     if (outcome.changed) {
-        this->activeConfig = std::make_shared<const RoutingConfig>(command.config);
+        this->rulesInForce = std::make_shared<const RulesInForce>(
+            replaceConfig(current, command.config, used, this->now));
     }
     return outcome;
 }
 
+NamesInUse WorkflowState::namesInUse() const
+{
+    NamesInUse used;
+    this->visitLiveWorkflows([&used](const WorkflowRecord &workflow) {
+        used.queues.insert(workflow.queue);
+        used.customers.insert(workflow.customer);
+    });
+    return used;
+}
+
 CommandOutcome WorkflowState::execute(const AcceptWorkflow &command)
 {
     CommandOutcome outcome;
@@ -325,7 +338,13 @@
 std::shared_ptr<const RoutingConfig> WorkflowState::config() const
 {
     const std::lock_guard lock(this->cellMutex);
-    return this->activeConfig;
+    return this->rulesInForce == nullptr ? nullptr : this->rulesInForce->config;
+}
+
+std::shared_ptr<const RulesInForce> WorkflowState::rules() const
+{
+    const std::lock_guard lock(this->cellMutex);
+    return this->rulesInForce;
 }
 
 std::optional<WorkflowStatus> WorkflowState::status(const WorkflowId &id) const
@@ -340,11 +359,23 @@
 
 std::size_t WorkflowState::queuedCount(const std::string &queue) const
 {
+    // Work that was accepted under another name of the queue counts as well.
+    std::set<std::string> names{queue};
+    if (const std::shared_ptr<const RulesInForce> current = this->rules()) {
+        for (const RetiredQueue &retired : current->retiredQueues) {
+            const QueueRule *const rule = findQueueOfWork(*current, retired.rule.name);
+            if (rule != nullptr && rule->name == queue) {
+                names.insert(retired.rule.name);
+            }
+        }
+    }
     std::size_t count = 0;
     for (const Shard &shard : this->shards) {
         const std::lock_guard lock(shard.mutex);
-        const auto found = shard.queued.find(queue);
-        count += found == shard.queued.end() ? 0 : found->second;
+        for (const std::string &name : names) {
+            const auto found = shard.queued.find(name);
+            count += found == shard.queued.end() ? 0 : found->second;
+        }
     }
     return count;
 }
@@ -406,8 +437,10 @@
         stored.now = this->now;
         stored.evacuated = this->evacuatedDomains;
         stored.workers = this->knownWorkers;
-        if (this->activeConfig != nullptr) {
-            stored.config = *this->activeConfig;
+        if (this->rulesInForce != nullptr) {
+            stored.config = *this->rulesInForce->config;
+            stored.retiredQueues = this->rulesInForce->retiredQueues;
+            stored.retiredCustomers = this->rulesInForce->retiredCustomers;
         }
     }
     for (const Shard &shard : this->shards) {
@@ -436,9 +469,13 @@
         this->now = stored.now;
         this->evacuatedDomains = std::move(stored.evacuated);
         this->knownWorkers = std::move(stored.workers);
-        this->activeConfig = stored.config
-            ? std::make_shared<const RoutingConfig>(std::move(*stored.config))
-            : nullptr;
+        this->rulesInForce = nullptr;
+        if (stored.config) {
+            this->rulesInForce = std::make_shared<const RulesInForce>(RulesInForce{
+                .config = std::make_shared<const RoutingConfig>(std::move(*stored.config)),
+                .retiredQueues = std::move(stored.retiredQueues),
+                .retiredCustomers = std::move(stored.retiredCustomers)});
+        }
     }
     for (Shard &shard : this->shards) {
         const std::lock_guard lock(shard.mutex);
