Promise "not run" only if it holds for every attempt of a request

Cause, by reading and by a test: when a node learns of a new leader, it sends its open requests again while the attempts at the old leader stay open. If the last attempt failed with "not run" just before the deadline, the caller got 503, although an earlier attempt had neither reply nor error. Refusals in replies were passed on in the same way, and a leader without its lease answered "not run" for submissions that it knew to be stored.

Each attempt now has its own outcome, and an open one counts as unknown, so the caller gets 504. event=caller-not-served names the attempts that were sent and their outcomes, which the users' record lacked.

--- a/libs/cluster/include/cluster/cell_links.h
+++ b/libs/cluster/include/cluster/cell_links.h
@@ -10,6 +10,7 @@
 #include <string>
 
 #include <cluster/node_settings.h>
+#include <cluster/request_attempts.h>
 #include <link/link.h>
 #include <quorum/quorum.h>
 
@@ -24,6 +25,19 @@
     Heartbeats = 'h', ///< Heartbeats of workers whose records are unchanged.
 };
 
+/** The result of a request to the leader. */
+struct LeaderAnswer
+{
+    /** The error's outcome covers all attempts. */
+    Result<std::string> reply;
+    /**
+     * Unknown if an attempt other than the one that was answered may have had, or may still have,
+     * an effect. A reply by which a request was refused is then not the whole truth.
+     */
+    Outcome otherAttempts = Outcome::NotRun;
+    std::vector<RequestAttempt> attempts;
+};
+
 /** Handles a request; on an error with code NotLeader the sender retries with the leader. */
 using RequestHandler = std::function<void(RequestKind, const std::string &,
                                           std::function<void(Result<std::string>)>)>;
@@ -65,11 +79,11 @@
 
     /**
      * Sends a request to the leader, which may be this node, and retries until the deadline, so the
-     * request must be idempotent. The error's outcome is NotRun only if no attempt can have had an
-     * effect.
+     * request must be idempotent. The error's outcome is NotRun only if no attempt can have had, or
+     * can still have, an effect.
      */
     void callLeader(RequestKind kind, std::string request, SteadyTime deadline,
-                    std::function<void(Result<std::string>)> done);
+                    std::function<void(const LeaderAnswer &)> done);
     /** Sends a request to one node, without retries. */
     void callNode(const InstanceId &node, RequestKind kind, const std::string &request,
                   std::chrono::milliseconds timeout, std::function<void(Result<std::string>)> done);
@@ -82,8 +96,8 @@
 
     // cell_requests.cpp: requests to the leader.
     /** Sends the request again, unless another attempt was made after the given one. */
-    void sendAttempt(const std::shared_ptr<PendingRequest> &pending, std::uint64_t earlier);
-    void onReply(const std::shared_ptr<PendingRequest> &pending, std::uint64_t attempt,
+    void sendAttempt(const std::shared_ptr<PendingRequest> &pending, std::size_t earlier);
+    void onReply(const std::shared_ptr<PendingRequest> &pending, std::size_t attempt,
                  Result<std::string> result);
     /** Resends to a new leader what waits for another node's reply, which may never come. */
     void retryWithNewLeader(const InstanceId &leader);
--- a/libs/cluster/include/cluster/cluster.h
+++ b/libs/cluster/include/cluster/cluster.h
@@ -9,5 +9,6 @@
 #include <cluster/membership_step.h>
 #include <cluster/node_metrics.h>
 #include <cluster/node_settings.h>
+#include <cluster/request_attempts.h>
 #include <cluster/requests.h>
 #include <cluster/workflow_log.h>
--- a/libs/cluster/src/cell_requests.cpp
+++ b/libs/cluster/src/cell_requests.cpp
@@ -38,17 +38,19 @@
     RequestKind kind = RequestKind::Caller;
     std::string request;
     SteadyTime deadline;
-    std::function<void(Result<std::string>)> done;
-    /** The node that the latest attempt was sent to; empty if none was available. */
-    InstanceId target;
-    /** The number of the latest attempt. */
-    std::uint64_t attempt = 0;
-    /** Unknown once any attempt may have had an effect. */
-    Outcome outcome = Outcome::NotRun;
+    std::function<void(const LeaderAnswer &)> done;
+    /** In the order in which they were made; the number of an attempt is its index plus one. */
+    std::vector<RequestAttempt> attempts;
+
+    /** Returns the node that the latest attempt was sent to; empty if none was available. */
+    InstanceId target() const
+    {
+        return this->attempts.empty() ? InstanceId{} : this->attempts.back().target;
+    }
 };
 
 void CellLinks::callLeader(RequestKind kind, std::string request, SteadyTime deadline,
-                           std::function<void(Result<std::string>)> done)
+                           std::function<void(const LeaderAnswer &)> done)
 {
     auto pending = std::make_shared<PendingRequest>();
     pending->kind = kind;
@@ -65,25 +67,26 @@
     this->sendAttempt(pending, 0);
 }
 
-void CellLinks::sendAttempt(const std::shared_ptr<PendingRequest> &pending, std::uint64_t earlier)
+void CellLinks::sendAttempt(const std::shared_ptr<PendingRequest> &pending, std::size_t earlier)
 {
     InstanceId previousTarget;
     {
         const std::lock_guard lock(this->mutex);
-        previousTarget = pending->target;
+        previousTarget = pending->target();
     }
     const bool leads = this->replica != nullptr && this->replica->holdsLease();
     const std::optional<InstanceId> target
         = leads ? std::optional(this->ownId) : this->nextHop(previousTarget);
-    std::uint64_t number = 0;
+    std::size_t number = 0;
     {
         const std::lock_guard lock(this->mutex);
         // Another attempt is in progress, or the request has been completed.
-        if (pending->attempt != earlier || !this->pendingRequests.contains(pending)) {
+        if (pending->attempts.size() != earlier || !this->pendingRequests.contains(pending)) {
             return;
         }
-        number = ++pending->attempt;
-        pending->target = target.value_or(InstanceId{});
+        pending->attempts.push_back(
+            RequestAttempt{.target = target.value_or(InstanceId{}), .outcome = {}});
+        number = pending->attempts.size();
     }
     const auto answer = [this, pending, number](Result<std::string> result) {
         this->onReply(pending, number, std::move(result));
@@ -100,45 +103,51 @@
     }
 }
 
-void CellLinks::onReply(const std::shared_ptr<PendingRequest> &pending, std::uint64_t attempt,
+void CellLinks::onReply(const std::shared_ptr<PendingRequest> &pending, std::size_t attempt,
                         Result<std::string> result)
 {
+    LeaderAnswer answer;
     {
         const std::lock_guard lock(this->mutex);
         if (!this->pendingRequests.contains(pending)) {
             return;
         }
+        // What an answered attempt did is in its reply.
+        std::optional<Outcome> &outcome = pending->attempts[attempt - 1].outcome;
+        outcome = ok(result) ? Outcome::NotRun : errorOf(result).outcome;
         if (!ok(result)) {
-            if (errorOf(result).outcome == Outcome::Unknown) {
-                pending->outcome = Outcome::Unknown;
-            }
             // A later attempt is in progress and decides the result.
-            if (attempt != pending->attempt) {
+            if (attempt != pending->attempts.size()) {
+                return;
+            }
+            if (this->clock.steadyNow() + retryDelay < pending->deadline) {
+                this->executor.after(retryDelay, [this, pending, attempt]() {
+                    this->sendAttempt(pending, attempt);
+                });
                 return;
             }
-            Error error = errorOf(result);
-            error.outcome = pending->outcome;
-            result = error;
-        }
-        if (ok(result) || this->clock.steadyNow() + retryDelay >= pending->deadline) {
-            this->pendingRequests.erase(pending);
-        } else {
-            this->executor.after(
-                retryDelay, [this, pending, attempt]() { this->sendAttempt(pending, attempt); });
-            return;
         }
+        this->pendingRequests.erase(pending);
+        answer.attempts = pending->attempts;
+    }
+    answer.otherAttempts = combinedOutcome(answer.attempts);
+    if (!ok(result)) {
+        Error error = errorOf(result);
+        error.outcome = answer.otherAttempts;
+        result = error;
     }
-    pending->done(std::move(result));
+    answer.reply = std::move(result);
+    pending->done(answer);
 }
 
 void CellLinks::retryWithNewLeader(const InstanceId &leader)
 {
-    std::vector<std::pair<std::shared_ptr<PendingRequest>, std::uint64_t>> waiting;
+    std::vector<std::pair<std::shared_ptr<PendingRequest>, std::size_t>> waiting;
     {
         const std::lock_guard lock(this->mutex);
         for (const auto &pending : this->pendingRequests) {
-            if (pending->target != leader) {
-                waiting.emplace_back(pending, pending->attempt);
+            if (pending->target() != leader) {
+                waiting.emplace_back(pending, pending->attempts.size());
             }
         }
     }
--- a/libs/cluster/src/cluster_node.cpp
+++ b/libs/cluster/src/cluster_node.cpp
@@ -67,15 +67,51 @@
 }
 
 template<typename Reply>
-std::function<void(Result<std::string>)> decodeReply(std::function<void(Result<Reply>)> done)
+Result<Reply> decodeReply(const LeaderAnswer &answer)
 {
-    return [done = std::move(done)](const Result<std::string> &bytes) {
-        if (ok(bytes)) {
-            done(decodeRecord<Reply>(valueOf(bytes)));
-        } else {
-            done(errorOf(bytes));
-        }
-    };
+    return ok(answer.reply) ? decodeRecord<Reply>(valueOf(answer.reply)) : errorOf(answer.reply);
+}
+
+/** Returns whether the reply says that a submission or a cancellation was not carried out. */
+bool isRefusal(const CallerReply &reply)
+{
+    switch (reply.outcome) {
+    case CallerOutcome::NoConfiguration:
+    case CallerOutcome::UnknownQueue:
+    case CallerOutcome::UnknownKey:
+    case CallerOutcome::Invalid:
+    case CallerOutcome::Overloaded:
+    case CallerOutcome::Unavailable:
+        return true;
+    default:
+        return false;
+    }
+}
+
+/**
+ * Returns the reply for a caller. Its request has not run only if that holds for all attempts to
+ * have it served.
+ */
+CallerReply callerReply(CallerAction action, const LeaderAnswer &answer)
+{
+    CallerReply reply;
+    const Result<CallerReply> result = decodeReply<CallerReply>(answer);
+    if (!ok(result)) {
+        // A reply that can't be read may have confirmed the request.
+        const bool notRun = !ok(answer.reply) && errorOf(result).outcome == Outcome::NotRun;
+        reply.outcome = notRun ? CallerOutcome::Unavailable : CallerOutcome::OutcomeUnknown;
+        reply.retryAfter = electionRetryDelay;
+        reply.message = errorOf(result).message;
+        return reply;
+    }
+    if (action != CallerAction::Read && answer.otherAttempts == Outcome::Unknown
+        && isRefusal(valueOf(result))) {
+        reply.outcome = CallerOutcome::OutcomeUnknown;
+        reply.message = "an earlier attempt may have run; the last one was refused: "
+            + valueOf(result).message;
+        return reply;
+    }
+    return valueOf(result);
 }
 
 } // namespace
@@ -169,24 +205,19 @@
 {
     this->links.callLeader(
         RequestKind::Caller, encodeRecord(request), this->clock.steadyNow() + timeout,
-        decodeReply<CallerReply>([this, path = request.path, requestedAt = this->clock.steadyNow(),
-                                  done = std::move(done)](const Result<CallerReply> &result) {
-            const Duration elapsed = this->clock.steadyNow() - requestedAt;
-            if (ok(result)) {
-                this->nodeMetrics.callerAnswered(valueOf(result).outcome, elapsed);
-                done(valueOf(result));
-                return;
+        [this, action = request.action, path = request.path, requestedAt = this->clock.steadyNow(),
+         done = std::move(done)](const LeaderAnswer &answer) {
+            const CallerReply reply = callerReply(action, answer);
+            if (!ok(answer.reply) || (answer.attempts.size() > 1 && isRefusal(reply))
+                || reply.outcome == CallerOutcome::OutcomeUnknown) {
+                const std::string cause = ok(answer.reply) ? "reason=\"" + reply.message + '"'
+                                                           : describe(errorOf(answer.reply));
+                spdlog::info("event=caller-not-served path={} {} {}", path, cause,
+                             describeAttempts(answer.attempts));
             }
-            spdlog::info("event=caller-not-served path={} {}", path, describe(errorOf(result)));
-            CallerReply reply;
-            reply.outcome = errorOf(result).outcome == Outcome::NotRun
-                ? CallerOutcome::Unavailable
-                : CallerOutcome::OutcomeUnknown;
-            reply.retryAfter = electionRetryDelay;
-            reply.message = errorOf(result).message;
-            this->nodeMetrics.callerAnswered(reply.outcome, elapsed);
+            this->nodeMetrics.callerAnswered(reply.outcome, this->clock.steadyNow() - requestedAt);
             done(reply);
-        }));
+        });
 }
 
 void ClusterNode::handle(const OperatorRequest &request, std::chrono::milliseconds timeout,
@@ -194,12 +225,13 @@
 {
     this->links.callLeader(
         RequestKind::Operator, encodeRecord(request), this->clock.steadyNow() + timeout,
-        decodeReply<OperatorReply>([this, requestedAt = this->clock.steadyNow(),
-                                    done = std::move(done)](const Result<OperatorReply> &result) {
+        [this, requestedAt = this->clock.steadyNow(),
+         done = std::move(done)](const LeaderAnswer &answer) {
+            const Result<OperatorReply> result = decodeReply<OperatorReply>(answer);
             this->nodeMetrics.operatorRequestAnswered(ok(result) && valueOf(result).done,
                                                       this->clock.steadyNow() - requestedAt);
             done(result);
-        }));
+        });
 }
 
 void ClusterNode::handle(const WorkerStatusReport &report, std::chrono::milliseconds timeout,
@@ -223,11 +255,11 @@
         done(WorkerStatusReply{.accepted = true, .reportAddress = std::nullopt});
         return;
     }
-    this->links.callLeader(
-        RequestKind::Announcement, encodeRecord(report), this->clock.steadyNow() + timeout,
-        decodeReply<WorkerStatusReply>([done = std::move(done)](Result<WorkerStatusReply> result) {
-            done(std::move(result));
-        }));
+    this->links.callLeader(RequestKind::Announcement, encodeRecord(report),
+                           this->clock.steadyNow() + timeout,
+                           [done = std::move(done)](const LeaderAnswer &answer) {
+                               done(decodeReply<WorkerStatusReply>(answer));
+                           });
 }
 
 void ClusterNode::forwardHeartbeats()
@@ -243,10 +275,10 @@
     }
     this->links.callLeader(RequestKind::Heartbeats, encodeRecord(workers),
                            this->clock.steadyNow() + heartbeatForwardTimeout,
-                           [count = workers.size()](const Result<std::string> &result) {
-                               if (!ok(result)) {
+                           [count = workers.size()](const LeaderAnswer &answer) {
+                               if (!ok(answer.reply)) {
                                    spdlog::info("event=heartbeats-not-forwarded workers={} {}",
-                                                count, describe(errorOf(result)));
+                                                count, describe(errorOf(answer.reply)));
                                }
                            });
 }
--- a/libs/cluster/src/leader_service.cpp
+++ b/libs/cluster/src/leader_service.cpp
@@ -127,7 +127,10 @@
         if (this->log.holdsLease()) {
             done(accepted);
         } else {
-            done(notLeader());
+            // It may well run, so this is no refusal.
+            Error error = notLeader();
+            error.outcome = Outcome::Unknown;
+            done(error);
         }
         return;
     }
