Wait for the leases of earlier leaders whatever the first heartbeat says

Cause: a new leader computed its first lease for a worker from the clock of a heartbeat that a cut had held up for 6.7 s. The lease ended in the past on the worker's clock, and recordClock took its end for the end of all leases, also of those that the earlier leader had granted. A check of leases before the next renewal then released the worker's runs (run-lost, lease-over, 0.15 s after the term began).

The leases of earlier leaders now have a bound of their own that no clock reading shortens. The log line of a run that is lost with its lease names phase, silence and granted lease, which told the hypotheses apart.

--- a/libs/dispatch/include/dispatch/upstream_scheduler.h
+++ b/libs/dispatch/include/dispatch/upstream_scheduler.h
@@ -148,6 +148,8 @@
     /** Releases runs that are absent from the report and can no longer start. */
     void releaseUnreportedRuns(UpstreamWorker &worker, const LeaseRenewalReply &reply,
                                SteadyTime sentAt, Effects &effects);
+    /** Releases the worker's runs if every lease that it may hold has expired. */
+    void releaseRunsOfExpiredLeases(UpstreamWorker &worker, Effects &effects);
     /** Releases runs whose lease has expired, removes lost workers and repeats stops. */
     void handleExpiredLeases(Effects &effects);
     void storeEnds(const InstanceId &id, WorkerIncarnation incarnation,
--- a/libs/dispatch/include/dispatch/upstream_worker.h
+++ b/libs/dispatch/include/dispatch/upstream_worker.h
@@ -61,11 +61,13 @@
     SteadyTime lastContact;
     std::optional<ClockReading> clock;
     /**
-     * The latest lease end that the worker may have received, and when that lease has certainly
-     * expired in local time.
+     * The latest lease end that the worker may have received from this leader, and when that lease
+     * has certainly expired in local time.
      */
     WorkerTime leaseGranted;
     SteadyTime leaseExpiresBy;
+    /** When all leases that earlier leaders may have granted have certainly expired. */
+    SteadyTime earlierLeasesExpireBy;
     /**
      * Until then, this incarnation may still carry out orders that were sent to an earlier one. The
      * lease end in such an order does not prevent that: it is a time on the worker's clock, which
@@ -102,6 +104,9 @@
     WorkflowId lastFailedWorkflow;
 };
 
+/** Returns the local time by which every lease that the worker may hold has expired. */
+SteadyTime lastLeaseExpiry(const UpstreamWorker &worker);
+
 /** Returns the capacity that neither runs nor orphaned runs reserve. */
 Resources freeCapacity(const UpstreamWorker &worker);
 
--- a/libs/dispatch/src/upstream_scheduler_workers.cpp
+++ b/libs/dispatch/src/upstream_scheduler_workers.cpp
@@ -40,7 +40,7 @@
     worker.lastContact = this->context.clock.steadyNow();
     // An earlier leader may have granted a lease just before this term began.
     const std::chrono::duration<double, std::milli> longest(this->settings.workerLease);
-    worker.leaseExpiresBy = worker.lastContact
+    worker.earlierLeasesExpireBy = worker.lastContact
         + std::chrono::duration_cast<Duration>(longest / (1.0 - maxWorkerClockLag));
 }
 
@@ -528,32 +528,44 @@
     }
 }
 
+void UpstreamScheduler::releaseRunsOfExpiredLeases(UpstreamWorker &worker, Effects &effects)
+{
+    const SteadyTime now = this->context.clock.steadyNow();
+    if (now <= lastLeaseExpiry(worker) + leaseExpiryMargin) {
+        return;
+    }
+    this->clearOrphanedRuns(worker);
+    const std::map<TaskKey, RunNumber> runs = worker.runs;
+    for (const auto &[key, number] : runs) {
+        LiveTask *task = this->findTask(key);
+        if (task == nullptr || !task->run || task->run->phase == RunPhase::Ending
+            || task->run->phase == RunPhase::Proposed) {
+            continue;
+        }
+        const bool startMayBeDelayed = task->run->phase == RunPhase::OutcomeUnknown
+            || task->run->phase == RunPhase::Recovered;
+        if (startMayBeDelayed && now <= worker.delayedOrdersUntil) {
+            continue;
+        }
+        const auto silence
+            = std::chrono::duration_cast<std::chrono::milliseconds>(now - worker.lastContact);
+        spdlog::info("event=run-lost task={} run={} worker={} reason=lease-over phase={} "
+                     "silence={}ms granted={}",
+                     toString(key), number.value, worker.record.id.value,
+                     static_cast<int>(task->run->phase), silence.count(),
+                     worker.leaseGranted.time_since_epoch().count());
+        this->stopGang(key, number, effects);
+        this->releaseRun(key, effects);
+    }
+}
+
 void UpstreamScheduler::handleExpiredLeases(Effects &effects)
 {
     const SteadyTime now = this->context.clock.steadyNow();
     ++this->ticks;
     std::vector<InstanceId> removed;
     for (auto &[id, worker] : this->workers) {
-        if (now > worker.leaseExpiresBy + leaseExpiryMargin) {
-            this->clearOrphanedRuns(worker);
-            const std::map<TaskKey, RunNumber> runs = worker.runs;
-            for (const auto &[key, number] : runs) {
-                LiveTask *task = this->findTask(key);
-                if (task == nullptr || !task->run || task->run->phase == RunPhase::Ending
-                    || task->run->phase == RunPhase::Proposed) {
-                    continue;
-                }
-                const bool startMayBeDelayed = task->run->phase == RunPhase::OutcomeUnknown
-                    || task->run->phase == RunPhase::Recovered;
-                if (startMayBeDelayed && now <= worker.delayedOrdersUntil) {
-                    continue;
-                }
-                spdlog::info("event=run-lost task={} run={} worker={} reason=lease-over",
-                             toString(key), number.value, id.value);
-                this->stopGang(key, number, effects);
-                this->releaseRun(key, effects);
-            }
-        }
+        this->releaseRunsOfExpiredLeases(worker, effects);
         if (worker.runs.empty() && worker.orphanedRuns.empty()
             && (worker.left || now - worker.lastContact > this->settings.forgetTimeout)) {
             removed.push_back(id);
--- a/libs/dispatch/src/upstream_worker.cpp
+++ b/libs/dispatch/src/upstream_worker.cpp
@@ -35,6 +35,11 @@
     return reading.at + std::chrono::duration_cast<Duration>(remaining / (1.0 - maxWorkerClockLag));
 }
 
+SteadyTime lastLeaseExpiry(const UpstreamWorker &worker)
+{
+    return std::max(worker.leaseExpiresBy, worker.earlierLeasesExpireBy);
+}
+
 Resources freeCapacity(const UpstreamWorker &worker)
 {
     const Resources &capacity = worker.record.capacity;
--- a/libs/dispatch/test/dispatch_fixture.h
+++ b/libs/dispatch/test/dispatch_fixture.h
@@ -102,6 +102,8 @@
     /** Carries out the starts that got no answer. */
     void deliverDelayedStarts();
     std::size_t runningTasks() const;
+    /** The time on the clock of all workers. */
+    WorkerTime clockNow() const;
 
     std::map<InstanceId, FakeWorker> workers;
     std::vector<std::string> violations;
@@ -113,7 +115,6 @@
     std::vector<std::pair<InstanceId, StartOrder>> delayedStarts;
 
 private:
-    WorkerTime clockNow() const;
     StartResult applyStart(FakeWorker &worker, const StartOrder &order);
 
     FakeTimers &timers;
--- a/libs/dispatch/test/recovery_test.cpp
+++ b/libs/dispatch/test/recovery_test.cpp
@@ -108,3 +108,32 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(EarlierLeaseTest)
+
+// Guards against a second run while a lease of an earlier leader goes on: the new one computed its
+// own first lease from a heartbeat that was seconds old, and then took the end of that lease, which
+// was in the past on the worker's clock, for the end of all leases.
+BOOST_AUTO_TEST_CASE(WaitsForLeasesOfEarlierLeadersAfterAnOldHeartbeat)
+{
+    DispatchFixture cell(1);
+    FakeWorker &worker = cell.workers.workers[DispatchFixture::workerId(0)];
+    const WorkflowId id = cell.submit("a", {DispatchFixture::step(2)});
+    cell.run(300ms);
+    BOOST_REQUIRE(worker.running.size() == 2U);
+    cell.log.leads = false;
+    cell.changeLeader();
+    cell.timers.settle();
+    cell.log.leads = true;
+    cell.timers.advance(70ms);
+    // The report of an end delays the next renewal beyond the next check of leases.
+    cell.workers.end(worker.record.id, DispatchFixture::task(id, 0), EndKind::Done);
+    cell.dispatcher.heartbeatReceived(worker.record, cell.workers.clockNow() - 7s);
+    cell.timers.advance(60ms);
+    BOOST_TEST(worker.starts == 2U);
+    cell.run(1000ms);
+    BOOST_TEST(worker.starts == 2U);
+    BOOST_TEST(worker.running.contains(DispatchFixture::task(id, 1)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
