Reckon with the longest lease of a worker that took an earlier order

A task could run twice: a worker restarts unnoticed, its next incarnation takes a start, a new leader learns of it from a report, and the worker then does not respond. The leader started the task elsewhere 4.9 s later, while the worker's lease went on for up to 6 or 10 s.

Cause: the lease end in the start is a time on the clock of the earlier incarnation. It is far ahead on the new clock, so the worker cuts it down to the longest lease that it accepts, and the leader knew only its own leases.

The bound for leases that the leader did not grant itself now covers orders to earlier incarnations. The longest lease is a setting of its own; longestWorkerLeaseMillis, which the platform fills in, was read only as an upper bound of the other one.

Evidence: WaitsForTheLongestLeaseOfARestartedWorkerThatTookAnEarlierOrder fails without the change (2 checks).

--- a/libs/cluster/src/node_settings.cpp
+++ b/libs/cluster/src/node_settings.cpp
@@ -105,8 +105,9 @@
     void readDispatch(DispatchSettings &dispatch)
     {
         dispatch.workerLease = this->duration("workerLease", dispatch.workerLease);
-        const auto longest = this->duration("longestWorkerLease", dispatch.workerLease);
-        dispatch.workerLease = std::min(dispatch.workerLease, longest);
+        dispatch.longestWorkerLease = this->duration(
+            "longestWorkerLease", std::max(dispatch.workerLease, dispatch.longestWorkerLease));
+        dispatch.workerLease = std::min(dispatch.workerLease, dispatch.longestWorkerLease);
         dispatch.gangTimeout = this->duration("gangPatience", dispatch.gangTimeout);
         dispatch.stopTimeout = this->duration("workerStopPatience", dispatch.stopTimeout);
         dispatch.renewalWait = this->duration("holdWait", dispatch.renewalWait);
--- a/libs/cluster/test/cluster_test.cpp
+++ b/libs/cluster/test/cluster_test.cpp
@@ -329,6 +329,7 @@
     BOOST_TEST(valueOf(settings).listenCallers->port == 81);
     // The platform's limit overrides the default.
     BOOST_TEST((valueOf(settings).dispatch.workerLease == 3s));
+    BOOST_TEST((valueOf(settings).dispatch.longestWorkerLease == 3s));
 }
 
 BOOST_AUTO_TEST_CASE(ReportsEveryInvalidValue)
--- a/libs/dispatch/include/dispatch/dispatch_settings.h
+++ b/libs/dispatch/include/dispatch/dispatch_settings.h
@@ -12,6 +12,8 @@
      * without contact to the leader. At most the longest lease that the worker accepts.
      */
     std::chrono::milliseconds workerLease{4500};
+    /** The longest lease that a worker accepts; a longer one is cut down to this. */
+    std::chrono::milliseconds longestWorkerLease{6000};
     /** How long the members of a gang wait for each other to start. */
     std::chrono::milliseconds gangTimeout{3000};
     /** Time that a worker may take to stop a run. */
--- a/libs/dispatch/include/dispatch/upstream_scheduler.h
+++ b/libs/dispatch/include/dispatch/upstream_scheduler.h
@@ -131,6 +131,11 @@
      * has left, and an entry is added that holds the run until the worker's lease has ended.
      */
     UpstreamWorker &recoveredWorker(const StoredTask &run);
+    /**
+     * Notes that the worker's incarnation may have carried out, or may still carry out, an order to
+     * an earlier one.
+     */
+    void expectEarlierOrders(UpstreamWorker &worker) const;
     /** Resets the worker for a new incarnation and releases runs that ended with the old one. */
     void beginIncarnation(UpstreamWorker &worker, const WorkerRecord &record, Effects &effects);
     /** Updates the run from the worker's report. Returns false if the scheduler has no such run. */
--- a/libs/dispatch/include/dispatch/upstream_worker.h
+++ b/libs/dispatch/include/dispatch/upstream_worker.h
@@ -66,7 +66,10 @@
      */
     WorkerTime leaseGranted;
     SteadyTime leaseExpiresBy;
-    /** When all leases that earlier leaders may have granted have certainly expired. */
+    /**
+     * When all leases that earlier leaders, or orders to an earlier incarnation, may have granted
+     * have certainly expired.
+     */
     SteadyTime earlierLeasesExpireBy;
     /**
      * Until then, this incarnation may still carry out orders that were sent to an earlier one. The
@@ -104,6 +107,12 @@
     WorkflowId lastFailedWorkflow;
 };
 
+/**
+ * Returns the local time by which a lease of this length, which the worker receives now, has
+ * expired on the worker, given the largest clock lag.
+ */
+SteadyTime latestExpiryOf(std::chrono::milliseconds lease, SteadyTime now);
+
 /** Returns the local time by which every lease that the worker may hold has expired. */
 SteadyTime lastLeaseExpiry(const UpstreamWorker &worker);
 
--- a/libs/dispatch/src/upstream_scheduler_workers.cpp
+++ b/libs/dispatch/src/upstream_scheduler_workers.cpp
@@ -39,9 +39,7 @@
     worker.slot = ++this->lastSlotNumber;
     worker.lastContact = this->context.clock.steadyNow();
     // An earlier leader may have granted a lease just before this term began.
-    const std::chrono::duration<double, std::milli> longest(this->settings.workerLease);
-    worker.earlierLeasesExpireBy = worker.lastContact
-        + std::chrono::duration_cast<Duration>(longest / (1.0 - maxWorkerClockLag));
+    worker.earlierLeasesExpireBy = latestExpiryOf(this->settings.workerLease, worker.lastContact);
 }
 
 UpstreamWorker &UpstreamScheduler::recoveredWorker(const StoredTask &run)
@@ -59,12 +57,20 @@
         // Without an address, it can't be asked for its runs.
         worker.lastContact = SteadyTime{};
     } else if (worker.record.incarnation != run.incarnation) {
-        // The start may have reached the later incarnation, or may still do so.
-        worker.delayedOrdersUntil = this->context.clock.steadyNow() + maxOrderDelay;
+        this->expectEarlierOrders(worker);
     }
     return worker;
 }
 
+void UpstreamScheduler::expectEarlierOrders(UpstreamWorker &worker) const
+{
+    const SteadyTime now = this->context.clock.steadyNow();
+    worker.delayedOrdersUntil = now + maxOrderDelay;
+    // The lease end in such an order is far ahead on the clock of the later incarnation.
+    worker.earlierLeasesExpireBy = std::max(worker.earlierLeasesExpireBy,
+                                            latestExpiryOf(this->settings.longestWorkerLease, now));
+}
+
 void UpstreamScheduler::workerChanged(const WorkerRecord &record)
 {
     this->runLocked([&](Effects &effects) {
@@ -118,9 +124,8 @@
             continue;
         }
         if (task->run->phase == RunPhase::Recovered) {
-            // The earlier leader's start may have reached the new incarnation, whose next report
-            // tells.
-            worker.delayedOrdersUntil = now + maxOrderDelay;
+            // The next report of the new incarnation tells whether it took the start.
+            this->expectEarlierOrders(worker);
             continue;
         }
         // The answer to a start does not tell which incarnation of the worker gave it.
@@ -132,7 +137,7 @@
             // The start may still reach the new incarnation.
             task->run->phase = RunPhase::OutcomeUnknown;
             task->run->stopAnsweredAt.reset();
-            worker.delayedOrdersUntil = now + maxOrderDelay;
+            this->expectEarlierOrders(worker);
             this->requestStop(key, *task->run, effects);
         } else if (task->run->phase != RunPhase::Proposed) {
             spdlog::info("event=run-lost task={} run={} worker={} reason=worker-restarted",
@@ -185,7 +190,7 @@
             if (task->run->phase == RunPhase::Ordered
                 || task->run->phase == RunPhase::OutcomeUnknown) {
                 // The worker may restart under the same id, and then take the start.
-                worker.delayedOrdersUntil = this->context.clock.steadyNow() + maxOrderDelay;
+                this->expectEarlierOrders(worker);
             }
             this->requestStop(key, *task->run, effects);
         }
--- a/libs/dispatch/src/upstream_worker.cpp
+++ b/libs/dispatch/src/upstream_worker.cpp
@@ -35,6 +35,12 @@
     return reading.at + std::chrono::duration_cast<Duration>(remaining / (1.0 - maxWorkerClockLag));
 }
 
+SteadyTime latestExpiryOf(std::chrono::milliseconds lease, SteadyTime now)
+{
+    const std::chrono::duration<double, std::milli> length(lease);
+    return now + std::chrono::duration_cast<Duration>(length / (1.0 - maxWorkerClockLag));
+}
+
 SteadyTime lastLeaseExpiry(const UpstreamWorker &worker)
 {
     return std::max(worker.leaseExpiresBy, worker.earlierLeasesExpireBy);
--- a/libs/dispatch/test/recovery_test.cpp
+++ b/libs/dispatch/test/recovery_test.cpp
@@ -96,6 +96,23 @@
     BOOST_TEST(this->workers.violations.empty());
 }
 
+// Guards against a second run while the first one goes on under the longest lease that the worker
+// accepts: the lease end in its start was a time on the clock of the earlier incarnation, which is
+// far ahead on the new clock.
+BOOST_AUTO_TEST_CASE(WaitsForTheLongestLeaseOfARestartedWorkerThatTookAnEarlierOrder)
+{
+    this->changeLeader();
+    this->run(200ms);
+    BOOST_REQUIRE(this->holder->running.contains(this->key));
+    this->holder->unresponsive = true;
+    this->run(5600ms);
+    BOOST_TEST(this->startCount() == 1U);
+    this->holder->running.clear();
+    this->run(2000ms);
+    BOOST_TEST(this->startCount() == 2U);
+    BOOST_TEST(this->workers.violations.empty());
+}
+
 // Guards against waiting for a run that has ended with the worker's earlier incarnation: the report
 // of the next one shows at once that the run is gone.
 BOOST_AUTO_TEST_CASE(ReschedulesARunThatTheReportOfTheRestartDoesNotList)
