Let a backlog of late work take no more of the leader than its budget

Cause: a metastable overload of the leader. Tickets of late steps were requested as the adviser's bound allowed, and requested again when they expired unused, while starts of late tasks were limited. Each of these requests takes the leader as long as a start. The limit followed the time that workers take to answer a start, and let up to 50 late tasks into a pass while work waited 60 ms for each of its turns.

Change: late steps ask the adviser within the budget that their starts have, a pass ends its visits when both are used up, and the budget follows the time by which passes begin late, which slow workers and links do not raise. Room on allowed workers is looked up only for steps that are visited. The board line and a histogram show passes, their time and lateness, tasks placed, late ones among them, and requests to the adviser.

--- a/libs/cluster/include/cluster/node_metrics.h
+++ b/libs/cluster/include/cluster/node_metrics.h
@@ -36,6 +36,7 @@
     void operatorRequestAnswered(bool done, Duration elapsed);
 
     void stepPlaced(std::size_t tasks, Duration waited) override;
+    void placementPassBegan(Duration lateness) override;
     void placementPassEnded(std::size_t attempts, Duration elapsed) override;
     void runLost() override;
     void orderAnswered(const char *order, bool answered, Duration elapsed) override;
--- a/libs/cluster/src/node_metrics.cpp
+++ b/libs/cluster/src/node_metrics.cpp
@@ -147,6 +147,15 @@
         .Observe(seconds(waited));
 }
 
+void NodeMetrics::placementPassBegan(Duration lateness)
+{
+    this->impl
+        ->histogram("placement_lateness_seconds",
+                    "How late placement passes began, as other work of the leader delayed them.",
+                    {}, passBuckets)
+        .Observe(seconds(lateness));
+}
+
 void NodeMetrics::placementPassEnded(std::size_t attempts, Duration elapsed)
 {
     this->impl
--- a/libs/dispatch/include/dispatch/dispatch_observer.h
+++ b/libs/dispatch/include/dispatch/dispatch_observer.h
@@ -16,6 +16,8 @@
      * Tasks of a step were placed on workers; waited is the time since its workflow was accepted.
      */
     virtual void stepPlaced(std::size_t tasks, Duration waited) = 0;
+    /** A placement pass has begun, this long after it was due. */
+    virtual void placementPassBegan(Duration lateness) = 0;
     /**
      * A placement pass has ended. Attempts are the steps that it tried to place; the others had no
      * new room since their last attempt.
--- a/libs/dispatch/include/dispatch/upstream_scheduler.h
+++ b/libs/dispatch/include/dispatch/upstream_scheduler.h
@@ -169,7 +169,7 @@
     void onAssignmentsStored(const std::vector<RunAssignment> &runs,
                              const Result<CommandOutcome> &result, Effects &effects);
     void sendStart(const TaskKey &key, LiveTask &task, Effects &effects);
-    void onStartReply(const TaskKey &key, RunNumber run, const InstanceId &id, Duration elapsed,
+    void onStartReply(const TaskKey &key, RunNumber run, const InstanceId &id,
                       const Result<StartReply> &result, Effects &effects);
     /**
      * Marks the run for stopping, and sends a stop unless one is pending, the assignment is still
@@ -199,9 +199,11 @@
     /** Schedules a placement pass, at the earliest one placement interval after the last. */
     void schedulePlacement(Effects &effects);
     void runPlacementPass(Effects &effects);
+    /** Places tasks of the step and asks the adviser for it, as far as the pass allows. */
+    void visitStep(ReadyStep &readyStep, PlacementPass &pass, Effects &effects);
     /**
-     * Returns the steps with waiting tasks that may be placed or ask the adviser in this pass, in
-     * scheduling order.
+     * Returns the steps with waiting tasks that do not merely wait for the adviser, in scheduling
+     * order.
      */
     std::vector<ReadyStep> readySteps(const PlacementPass &pass);
     PlacementPass beginPlacementPass(SteadyTime now);
@@ -237,8 +239,11 @@
                                                         const PlacementPass &pass) const;
     /** Reloads the configuration and the evacuated failure domains. */
     void loadConfiguration();
-    /** Requests tickets for further workers, or renews expired ones, if the step needs them. */
-    void requestAdvice(ReadyStep &readyStep, PlacementPass &pass, Effects &effects);
+    /**
+     * Requests tickets for further workers, or renews expired ones, if the step needs them. Returns
+     * whether it has sent a request.
+     */
+    bool requestAdvice(ReadyStep &readyStep, PlacementPass &pass, Effects &effects);
     /** Sorts the usable workers, those with the most free CPU first, unless that was done. */
     static void sortByFreeCpu(PlacementPass &pass);
     /** Returns the slots of the workers to list in the next request to the adviser. */
@@ -261,12 +266,26 @@
     bool placementScheduled = false;
     SteadyTime lastPlacement;
     std::uint32_t lastSlotNumber = 0;
-    /** Smoothed time that workers take to answer a start, as this process sees it. */
-    Duration startAnswerTime{};
+    /** When the scheduled placement pass is due. */
+    SteadyTime placementDueAt;
+    /** Smoothed time by which placement passes begin late, as the work before them takes it. */
+    Duration lateness{};
     /** The number of the latest event by which a worker has gained room. */
     RoomVersion lastRoomGain = 0;
     std::uint32_t ticks = 0;
     SteadyTime nextSummary;
+    /** What the scheduler has done since the last summary in the log. */
+    struct Activity
+    {
+        std::size_t passes = 0;
+        Duration passTime{};
+        /** The longest time by which a pass began late. */
+        Duration maxLateness{};
+        std::size_t placedTasks = 0;
+        std::size_t placedLateTasks = 0;
+        std::size_t adviceRequests = 0;
+    };
+    Activity activity;
     /** Requests to the adviser that are not answered yet, by their priority. */
     std::map<std::uint32_t, AdviceBacklog> adviceBacklog;
     /**
--- a/libs/dispatch/src/upstream_scheduler.cpp
+++ b/libs/dispatch/src/upstream_scheduler.cpp
@@ -349,11 +349,19 @@
     }
     this->nextSummary = now + summaryInterval;
     const UpstreamStats stats = this->statsLocked();
+    const auto millis = [](Duration time) {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+    };
     spdlog::info("event=board upstream={} workers={} usable={} workflows={} runs={} waiting={} "
-                 "cpu={}/{} questions={}",
+                 "cpu={}/{} questions={} passes={} pass-time={}ms lateness={}ms max-lateness={}ms "
+                 "placed={} placed-late={} advice={}",
                  this->upstream, stats.workers, stats.workersUsable, stats.workflows, stats.runs,
                  stats.tasksWaiting, stats.reserved.cpu.value, stats.capacity.cpu.value,
-                 stats.pendingAdviceRequests);
+                 stats.pendingAdviceRequests, this->activity.passes,
+                 millis(this->activity.passTime), millis(this->lateness),
+                 millis(this->activity.maxLateness), this->activity.placedTasks,
+                 this->activity.placedLateTasks, this->activity.adviceRequests);
+    this->activity = {};
 }
 
 UpstreamStats UpstreamScheduler::statsLocked() const
--- a/libs/dispatch/src/upstream_scheduler_placement.cpp
+++ b/libs/dispatch/src/upstream_scheduler_placement.cpp
@@ -35,8 +35,11 @@
     const AdviserTiming *advice = nullptr;
     StepUrgency urgency;
     SchedulingRank rank;
-    /** When a worker on which the step may run last gained room. */
-    RoomVersion newestRoom = 0;
+
+    bool isLate() const
+    {
+        return this->rank.group > 0;
+    }
 };
 
 void UpstreamScheduler::schedulePlacement(Effects &effects)
@@ -46,8 +49,8 @@
     }
     this->placementScheduled = true;
     const SteadyTime now = this->context.clock.steadyNow();
-    const Duration delay
-        = std::max(this->lastPlacement + this->settings.placementInterval - now, Duration::zero());
+    this->placementDueAt = std::max(this->lastPlacement + this->settings.placementInterval, now);
+    const Duration delay = this->placementDueAt - now;
     effects.push_back([self = this->shared_from_this(), delay]() {
         self->runLater(delay, [self](Effects &later) { self->runPlacementPass(later); });
     });
@@ -77,6 +80,11 @@
     std::size_t attempts = 0;
     /** Tasks of late steps that may still be placed in this pass. */
     std::size_t lateTasksLeft = 0;
+    /**
+     * Tasks of late steps for which the adviser may still be asked in this pass. Tickets expire, so
+     * those of steps that have to wait for their turn would have to be renewed again and again.
+     */
+    std::size_t lateAdviceLeft = 0;
     std::vector<RunAssignment> assignments;
 
     /** Returns the worker of the slot, or null if it is not usable. */
@@ -107,7 +115,8 @@
         }
     }
     pass.adviceSenders = this->context.adviser.senderCount();
-    pass.lateTasksLeft = lateTaskBudget(this->startAnswerTime);
+    pass.lateTasksLeft = lateTaskBudget(this->lateness);
+    pass.lateAdviceLeft = pass.lateTasksLeft;
     return pass;
 }
 
@@ -116,6 +125,10 @@
     this->placementScheduled = false;
     const SteadyTime now = this->context.clock.steadyNow();
     this->lastPlacement = now;
+    const Duration delayed = std::max(now - this->placementDueAt, Duration::zero());
+    this->lateness = smoothLateness(this->lateness, delayed);
+    this->activity.maxLateness = std::max(this->activity.maxLateness, delayed);
+    this->context.observer.placementPassBegan(delayed);
     if (this->rules == nullptr || this->workflows.empty()) {
         return;
     }
@@ -125,30 +138,45 @@
         return;
     }
     for (ReadyStep &readyStep : waiting) {
-        if ((readyStep.advice == nullptr || !readyStep.step->allowed.empty())
-            && mayFindRoom(readyStep.step->lastFailedPlacement, readyStep.newestRoom)) {
-            const bool late = readyStep.rank.group > 0;
-            if (!late) {
-                this->placeStep(readyStep, pass);
-            } else if (pass.lateTasksLeft > 0) {
-                const std::size_t placed = this->placeStep(readyStep, pass);
-                pass.lateTasksLeft -= std::min(pass.lateTasksLeft, placed);
-            }
-        }
-        if (readyStep.step->waiting > 0 && readyStep.advice != nullptr) {
-            this->requestAdvice(readyStep, pass, effects);
+        // Only late steps follow a late one.
+        if (readyStep.isLate() && pass.lateTasksLeft == 0 && pass.lateAdviceLeft == 0) {
+            break;
         }
+        this->visitStep(readyStep, pass, effects);
     }
-    if (pass.lateTasksLeft == 0) {
+    if (pass.lateTasksLeft == 0 || pass.lateAdviceLeft == 0) {
         // The late steps that were passed over need another pass, with or without new events.
         this->schedulePlacement(effects);
     }
-    this->context.observer.placementPassEnded(pass.attempts, this->context.clock.steadyNow() - now);
+    const Duration elapsed = this->context.clock.steadyNow() - now;
+    this->context.observer.placementPassEnded(pass.attempts, elapsed);
+    ++this->activity.passes;
+    this->activity.passTime += elapsed;
     if (!pass.assignments.empty()) {
         this->proposeAssignments(std::move(pass.assignments), effects);
     }
 }
 
+void UpstreamScheduler::visitStep(ReadyStep &readyStep, PlacementPass &pass, Effects &effects)
+{
+    LiveStep &step = *readyStep.step;
+    const bool late = readyStep.isLate();
+    const RoomVersion newestRoom
+        = readyStep.advice == nullptr ? this->lastRoomGain : this->newestRoom(step, pass);
+    if ((readyStep.advice == nullptr || !step.allowed.empty()) && (!late || pass.lateTasksLeft > 0)
+        && mayFindRoom(step.lastFailedPlacement, newestRoom)) {
+        const std::size_t placed = this->placeStep(readyStep, pass);
+        pass.lateTasksLeft -= late ? std::min(pass.lateTasksLeft, placed) : 0;
+        this->activity.placedTasks += placed;
+        this->activity.placedLateTasks += late ? placed : 0;
+    }
+    if (step.waiting > 0 && readyStep.advice != nullptr && (!late || pass.lateAdviceLeft > 0)
+        && maySearchCandidates(step.lastEmptySearch, newestRoom, pass.now)
+        && this->requestAdvice(readyStep, pass, effects)) {
+        pass.lateAdviceLeft -= late ? std::min(pass.lateAdviceLeft, step.waiting) : 0;
+    }
+}
+
 std::vector<UpstreamScheduler::ReadyStep> UpstreamScheduler::readySteps(const PlacementPass &pass)
 {
     std::vector<ReadyStep> found;
@@ -179,14 +207,8 @@
     const QueueRule *queue = workflow.queueRule;
     ReadyStep readyStep;
     readyStep.advice = queue != nullptr && queue->advice ? &*queue->advice : nullptr;
-    readyStep.newestRoom
-        = readyStep.advice == nullptr ? this->lastRoomGain : this->newestRoom(step, pass);
-    const bool mayAsk = readyStep.advice != nullptr && !step.adviceRequested
-        && pass.now >= step.nextAdviceRequestAt
-        && maySearchCandidates(step.lastEmptySearch, readyStep.newestRoom, pass.now);
-    const bool mayPlace = (readyStep.advice == nullptr || !step.allowed.empty())
-        && mayFindRoom(step.lastFailedPlacement, readyStep.newestRoom);
-    if (!mayAsk && !mayPlace) {
+    const bool mayAsk = !step.adviceRequested && pass.now >= step.nextAdviceRequestAt;
+    if (readyStep.advice != nullptr && step.allowed.empty() && !mayAsk) {
         return;
     }
     readyStep.occurrence = occurrence;
@@ -483,18 +505,17 @@
                                                                     : share->second);
 }
 
-void UpstreamScheduler::requestAdvice(ReadyStep &readyStep, PlacementPass &pass, Effects &effects)
+bool UpstreamScheduler::requestAdvice(ReadyStep &readyStep, PlacementPass &pass, Effects &effects)
 {
     LiveStep &step = *readyStep.step;
     const std::uint32_t priority = advicePriority(readyStep.urgency, pass.now);
     if (step.adviceRequested || pass.now < step.nextAdviceRequestAt
-        || !maySearchCandidates(step.lastEmptySearch, readyStep.newestRoom, pass.now)
         || (pass.adviceExhaustedFrom && priority >= *pass.adviceExhaustedFrom)) {
-        return;
+        return false;
     }
     if (!mayRequestAdvice(this->adviceBacklogUpTo(priority), pass.adviceSenders)) {
         pass.adviceExhaustedFrom = priority;
-        return;
+        return false;
     }
     AdviceRequest request{.workflow = readyStep.workflow->id,
                           .occurrence = readyStep.occurrence,
@@ -506,10 +527,11 @@
     }
     if (request.workers.empty()) {
         step.lastEmptySearch = CandidateSearch{.at = pass.now, .room = this->lastRoomGain};
-        return;
+        return false;
     }
     step.lastEmptySearch.reset();
     step.adviceRequested = true;
+    ++this->activity.adviceRequests;
     const std::chrono::microseconds cost = readyStep.advice->decision
         + readyStep.advice->timePerWorker * static_cast<std::int64_t>(request.workers.size());
     AdviceBacklog &backlog = this->adviceBacklog[priority];
@@ -524,6 +546,7 @@
                     [&](Effects &later) { self->onAdviceReply(request, cost, result, later); });
             });
     });
+    return true;
 }
 
 AdviceBacklog UpstreamScheduler::adviceBacklogUpTo(std::uint32_t priority) const
--- a/libs/dispatch/src/upstream_scheduler_runs.cpp
+++ b/libs/dispatch/src/upstream_scheduler_runs.cpp
@@ -135,9 +135,8 @@
                sentAt = self->context.clock.steadyNow()](const Result<StartReply> &result) {
                   const Duration elapsed = self->context.clock.steadyNow() - sentAt;
                   self->context.observer.orderAnswered("start", ok(result), elapsed);
-                  self->runLocked([&](Effects &later) {
-                      self->onStartReply(key, run, id, elapsed, result, later);
-                  });
+                  self->runLocked(
+                      [&](Effects &later) { self->onStartReply(key, run, id, result, later); });
               };
         if (!self->context.log.holdsLease()) {
             answer(Error{.code = ErrorCode::NotLeader,
@@ -153,12 +152,8 @@
 }
 
 void UpstreamScheduler::onStartReply(const TaskKey &key, RunNumber run, const InstanceId &id,
-                                     Duration elapsed, const Result<StartReply> &result,
-                                     Effects &effects)
+                                     const Result<StartReply> &result, Effects &effects)
 {
-    if (ok(result)) {
-        this->startAnswerTime = smoothAnswerTime(this->startAnswerTime, elapsed);
-    }
     LiveTask *task = this->findTask(key);
     const auto worker = this->workers.find(id);
     if (task == nullptr || !task->run || task->run->number != run || task->run->worker != id
--- a/libs/dispatch/test/backlog_test.cpp
+++ b/libs/dispatch/test/backlog_test.cpp
@@ -160,4 +160,34 @@
     BOOST_TEST(cell.workers.runningTasks() == 401U);
 }
 
+// Guards against a backlog that keeps the leader busy by itself: tickets of late steps were
+// requested and, unused, requested again at a multiple of the rate of their starts, until
+// submissions ended.
+BOOST_AUTO_TEST_CASE(AsksTheAdviserForNoMoreLateWorkThanItStarts)
+{
+    DispatchFixture cell(200);
+    cell.changeConfig([](RoutingConfig &config) {
+        config.queues.front().completionTarget = 500ms;
+        config.queues.front().advice
+            = AdviserTiming{.decision = 10ms, .timePerWorker = 1ms, .ticketValidity = 1500ms};
+    });
+    cell.evacuate("domain-a", true);
+    cell.evacuate("domain-b", true);
+    for (std::size_t number = 0; number < 1000; ++number) {
+        cell.submit("late-" + std::to_string(number), {DispatchFixture::step(1, 1000)});
+    }
+    cell.run(4000ms);
+    cell.evacuate("domain-a", false);
+    cell.evacuate("domain-b", false);
+    cell.adviser.requests.clear();
+    cell.observer.placed = 0;
+    // A leader without processor time: whatever is due waits for 150 ms.
+    for (int turn = 0; turn < 20; ++turn) {
+        cell.clock.advance(150ms);
+        cell.timers.settle();
+    }
+    BOOST_TEST(cell.observer.placed > 0U);
+    BOOST_TEST(cell.adviser.requests.size() <= 2 * cell.observer.placed);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/libs/dispatch/test/dispatch_fixture.h
+++ b/libs/dispatch/test/dispatch_fixture.h
@@ -154,6 +154,9 @@
     {
         this->placed += tasks;
     }
+    void placementPassBegan(Duration /*lateness*/) override
+    {
+    }
     void placementPassEnded(std::size_t passAttempts, Duration /*elapsed*/) override
     {
         this->attempts += passAttempts;
--- a/libs/policy/include/policy/late_work.h
+++ b/libs/policy/include/policy/late_work.h
@@ -7,16 +7,17 @@
 namespace gooseberry {
 
 /**
- * Returns how many tasks of late steps a placement pass may start. AnswerTime is the smoothed time
- * that workers take to answer a start, as this process sees it: it grows when the process falls
- * behind with its own work. Late steps then yield to those that can still meet their objective,
- * since each start takes processor time that delays all others. It answers the seconds after an
- * outage, when a thousand late submissions return at once while new ones arrive. At least one late
- * step may start in each pass, so that none waits for good.
+ * Returns how many tasks of late steps a placement pass may start, and for how many it may ask the
+ * adviser. Lateness is the smoothed time by which passes begin late: it grows when the process
+ * falls behind with its own work, and not when workers or links are slow. Late steps then yield to
+ * those that can still meet their objective, since each start and each request takes processor time
+ * that delays all others. It answers the seconds after an outage, when a thousand late submissions
+ * return at once while new ones arrive. At least one late step may start in each pass, so that none
+ * waits for good.
  */
-std::size_t lateTaskBudget(Duration answerTime);
+std::size_t lateTaskBudget(Duration lateness);
 
-/** Returns the smoothed answer time after one more answer. */
-Duration smoothAnswerTime(Duration smoothed, Duration latest);
+/** Returns the smoothed lateness after one more pass. */
+Duration smoothLateness(Duration smoothed, Duration latest);
 
 } // namespace gooseberry
--- a/libs/policy/src/late_work.cpp
+++ b/libs/policy/src/late_work.cpp
@@ -10,29 +10,32 @@
 constexpr std::size_t fullBudget = 64;
 /** Allows one step of usual size. */
 constexpr std::size_t minBudget = 4;
-/** Workers answer within a few milliseconds while the leader keeps up with its work. */
-constexpr std::chrono::milliseconds calmAnswerTime{30};
-/** Half of the shortest objectives beyond their running time. */
-constexpr std::chrono::milliseconds overloadedAnswerTime{120};
-/** Weight of one answer; some 30 answers, a few passes, replace the old value. */
-constexpr int answersPerMean = 32;
+/** Passes begin within a few milliseconds while the leader keeps up with its work. */
+constexpr std::chrono::milliseconds calmLateness{10};
+/**
+ * From its acceptance to its result, urgent work waits some ten times for its turn in this process;
+ * with more than this each time, it misses the shortest objectives of half a second.
+ */
+constexpr std::chrono::milliseconds overloadedLateness{50};
+/** Weight of one pass, so that the budget follows within a few passes. */
+constexpr int passesPerMean = 4;
 
 } // namespace
 
-std::size_t lateTaskBudget(Duration answerTime)
+std::size_t lateTaskBudget(Duration lateness)
 {
     const auto clamped
-        = std::clamp<Duration>(answerTime, calmAnswerTime, overloadedAnswerTime) - calmAnswerTime;
+        = std::clamp<Duration>(lateness, calmLateness, overloadedLateness) - calmLateness;
     const std::chrono::duration<double> excess = clamped;
-    const std::chrono::duration<double> range = overloadedAnswerTime - calmAnswerTime;
+    const std::chrono::duration<double> range = overloadedLateness - calmLateness;
     const double share = 1.0 - excess / range;
     return minBudget
         + static_cast<std::size_t>(share * static_cast<double>(fullBudget - minBudget));
 }
 
-Duration smoothAnswerTime(Duration smoothed, Duration latest)
+Duration smoothLateness(Duration smoothed, Duration latest)
 {
-    return smoothed + (latest - smoothed) / answersPerMean;
+    return smoothed + (latest - smoothed) / passesPerMean;
 }
 
 } // namespace gooseberry
