Let steps that ask the adviser together begin at different workers

Cause: each step listed the dozen workers with the most free processor. In the second after an outage 500 steps listed the same ones, a few got their room, and the others asked again: 4,400 requests in a second in which some 500 submissions arrived.

Change: among the workers with at least half of the most free processor, each search begins after those that the one before has listed.

AsksForDifferentWorkersWhenManyStepsWait failed before: 408 requests for 100 steps.

--- a/libs/dispatch/include/dispatch/upstream_scheduler.h
+++ b/libs/dispatch/include/dispatch/upstream_scheduler.h
@@ -247,7 +247,7 @@
     /** Sorts the usable workers, those with the most free CPU first, unless that was done. */
     static void sortByFreeCpu(PlacementPass &pass);
     /** Returns the slots of the workers to list in the next request to the adviser. */
-    std::vector<std::size_t> workersToQuery(const ReadyStep &readyStep, PlacementPass &pass) const;
+    std::vector<std::size_t> workersToQuery(const ReadyStep &readyStep, PlacementPass &pass);
     void onAdviceReply(const AdviceRequest &request, std::chrono::microseconds cost,
                        const Result<AdviceReply> &result, Effects &effects);
     /** Returns the unanswered requests of this priority and of all more urgent ones. */
@@ -288,6 +288,8 @@
     Activity activity;
     /** Requests to the adviser that are not answered yet, by their priority. */
     std::map<std::uint32_t, AdviceBacklog> adviceBacklog;
+    /** Where the search for candidates begins among the workers with much free CPU. */
+    std::size_t firstCandidate = 0;
     /**
      * For each queue, the running mean of the fraction of listed workers that the adviser allows.
      */
--- a/libs/dispatch/src/upstream_scheduler_placement.cpp
+++ b/libs/dispatch/src/upstream_scheduler_placement.cpp
@@ -19,6 +19,8 @@
 /** Weight of one answer in the running mean of that share. */
 constexpr double allowedShareWeight = 0.1;
 constexpr double minAllowedShare = 0.05;
+/** Workers with a free CPU of at least the most one over this are equally good candidates. */
+constexpr std::int64_t roomyShare = 2;
 /** Delay before a failed request to the adviser is repeated. */
 constexpr std::chrono::milliseconds adviceRetryDelay{150};
 
@@ -72,6 +74,8 @@
     std::vector<std::uint32_t> usableSlots;
     /** The usable slots are sorted, those with the most free CPU first. */
     bool sorted = false;
+    /** As many of the first sorted slots have much of the free CPU of the very first. */
+    std::size_t roomySlots = 0;
     std::size_t adviceSenders = 0;
     /** From this priority on, less urgent steps may not ask the adviser in this pass. */
     std::optional<std::uint32_t> adviceExhaustedFrom;
@@ -450,11 +454,19 @@
                          return pass.workersBySlot[left].free.cpu.value
                              > pass.workersBySlot[right].free.cpu.value;
                      });
+    const std::int64_t most = pass.usableSlots.empty()
+        ? 0
+        : pass.workersBySlot[pass.usableSlots.front()].free.cpu.value;
+    const auto firstFuller = std::partition_point(
+        pass.usableSlots.begin(), pass.usableSlots.end(), [&pass, most](std::uint32_t slot) {
+            return pass.workersBySlot[slot].free.cpu.value * roomyShare >= most;
+        });
+    pass.roomySlots = static_cast<std::size_t>(firstFuller - pass.usableSlots.begin());
     pass.sorted = true;
 }
 
 std::vector<std::size_t> UpstreamScheduler::workersToQuery(const ReadyStep &readyStep,
-                                                           PlacementPass &pass) const
+                                                           PlacementPass &pass)
 {
     const LiveStep &step = *readyStep.step;
     const StepSpec &spec = *readyStep.spec;
@@ -490,10 +502,13 @@
     }
     this->sortByFreeCpu(pass);
     std::vector<AdviceCandidate> notQueried;
-    for (const std::uint32_t slot : pass.usableSlots) {
-        if (notQueried.size() >= maxAdviceCandidates) {
-            break;
-        }
+    for (std::size_t number = 0;
+         number < pass.usableSlots.size() && notQueried.size() < maxAdviceCandidates; ++number) {
+        // Steps that ask at the same time begin at different workers, since they would find the
+        // room of the same few ones taken by each other and ask again.
+        const std::size_t position
+            = number < pass.roomySlots ? (this->firstCandidate + number) % pass.roomySlots : number;
+        const std::uint32_t slot = pass.usableSlots[position];
         const UsableWorker &usable = pass.workersBySlot[slot];
         if (!step.queriedSlots.contains(slot) && this->isCapable(*usable.worker, spec)) {
             notQueried.push_back(AdviceCandidate{
@@ -501,9 +516,11 @@
         }
     }
     const auto share = this->allowedShare.find(readyStep.workflow->queue);
-    return chooseAdviceCandidates(std::move(notQueried), wanted - allowedCapacity,
-                                  share == this->allowedShare.end() ? initialAllowedShare
-                                                                    : share->second);
+    std::vector<std::size_t> chosen = chooseAdviceCandidates(
+        std::move(notQueried), wanted - allowedCapacity,
+        share == this->allowedShare.end() ? initialAllowedShare : share->second);
+    this->firstCandidate += chosen.size();
+    return chosen;
 }
 
 bool UpstreamScheduler::requestAdvice(ReadyStep &readyStep, PlacementPass &pass, Effects &effects)
--- a/libs/dispatch/test/backlog_test.cpp
+++ b/libs/dispatch/test/backlog_test.cpp
@@ -190,4 +190,25 @@
     BOOST_TEST(cell.adviser.requests.size() <= 2 * cell.observer.placed);
 }
 
+// Guards against steps that all ask for the same few workers when many are submitted at once: one
+// of them gets the room, the others ask again. In the second after an outage that made 4,400
+// requests for 500 submissions.
+BOOST_AUTO_TEST_CASE(AsksForDifferentWorkersWhenManyStepsWait)
+{
+    constexpr std::size_t steps = 100;
+    DispatchFixture cell(200);
+    cell.adviser.senders = 200;
+    cell.changeConfig([](RoutingConfig &config) {
+        config.queues.front().advice
+            = AdviserTiming{.decision = 10ms, .timePerWorker = 1ms, .ticketValidity = 1500ms};
+    });
+    for (std::size_t number = 0; number < steps; ++number) {
+        cell.submit("new-" + std::to_string(number), {DispatchFixture::step(4, 4000)});
+    }
+    cell.run(500ms);
+    BOOST_TEST(cell.workers.runningTasks() == 4 * steps);
+    BOOST_TEST(cell.adviser.requests.size() <= steps * 3 / 2);
+    BOOST_TEST(cell.workers.violations.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
