Log what a count of waiting work was answered, and from which state

Cause: a wrong count left no trace.

Change: the leader logs event=queue-length, the node that was asked logs event=queue-length-answered, and the board line and the metric gooseberrylead_workflows_unconfirmed count workflows with runs of which no worker has confirmed one. Counts are as before.

--- a/libs/cluster/include/cluster/leader_service.h
+++ b/libs/cluster/include/cluster/leader_service.h
@@ -28,7 +28,7 @@
 private:
     void submit(const CallerRequest &request, const QueueRule &queue, const CustomerId &customer,
                 const WorkflowId &id, std::function<void(Result<CallerReply>)> done);
-    CallerReply read(const QueueRule &queue, const WorkflowId &id) const;
+    CallerReply read(const QueueRule &queue, ConfigVersion config, const WorkflowId &id) const;
     void cancel(const WorkflowId &id, std::function<void(Result<CallerReply>)> done);
     void propose(WorkflowCommand command, std::function<void(Result<OperatorReply>)> done);
 
--- a/libs/cluster/src/cluster_node.cpp
+++ b/libs/cluster/src/cluster_node.cpp
@@ -215,7 +215,14 @@
                 spdlog::info("event=caller-not-served path={} {} {}", path, cause,
                              describeAttempts(answer.attempts));
             }
-            this->nodeMetrics.callerAnswered(reply.outcome, this->clock.steadyNow() - requestedAt);
+            const Duration elapsed = this->clock.steadyNow() - requestedAt;
+            if (reply.outcome == CallerOutcome::QueueLength) {
+                spdlog::info("event=queue-length-answered path={} queued={} elapsed={}ms {}", path,
+                             reply.queued,
+                             std::chrono::duration_cast<std::chrono::milliseconds>(elapsed).count(),
+                             describeAttempts(answer.attempts));
+            }
+            this->nodeMetrics.callerAnswered(reply.outcome, elapsed);
             done(reply);
         });
 }
--- a/libs/cluster/src/leader_service.cpp
+++ b/libs/cluster/src/leader_service.cpp
@@ -86,7 +86,7 @@
     }
     switch (request.action) {
     case CallerAction::Read:
-        answer(this->read(*queue, id));
+        answer(this->read(*queue, config->version, id));
         return;
     case CallerAction::Submit:
         this->submit(request, *queue, customer == nullptr ? CustomerId{} : customer->id, id,
@@ -99,12 +99,15 @@
     answer(refusal(CallerOutcome::Invalid, "unknown action"));
 }
 
-CallerReply LeaderService::read(const QueueRule &queue, const WorkflowId &id) const
+CallerReply LeaderService::read(const QueueRule &queue, ConfigVersion config,
+                                const WorkflowId &id) const
 {
     CallerReply reply;
     if (id.value.empty()) {
         reply.outcome = CallerOutcome::QueueLength;
         reply.queued = this->state.queuedCount(queue.name);
+        spdlog::info("event=queue-length queue={} queued={} config={} state-time={}", queue.name,
+                     reply.queued, config.value, this->state.time().time_since_epoch().count());
         return reply;
     }
     const std::optional<WorkflowStatus> status = this->state.status(id);
--- a/libs/cluster/src/node_metrics.cpp
+++ b/libs/cluster/src/node_metrics.cpp
@@ -81,6 +81,8 @@
     add("runs", "Runs that workers hold.", stats.runs);
     add("tasks_waiting", "Tasks whose turn has come and that do not run.", stats.tasksWaiting);
     add("workflows", "Workflows that may still run.", stats.workflows);
+    add("workflows_unconfirmed", "Workflows with runs that no worker has confirmed.",
+        stats.workflowsUnconfirmed);
     add("adviser_questions", "Questions to the adviser that are open.",
         stats.pendingAdviceRequests);
 }
--- a/libs/dispatch/include/dispatch/live_workflow.h
+++ b/libs/dispatch/include/dispatch/live_workflow.h
@@ -103,6 +103,8 @@
      * The workflow was cancelled or has ended: its runs are being stopped and no new ones begin.
      */
     bool ended = false;
+    /** A worker has answered a start of one of its tasks with success, or has reported a run. */
+    bool startConfirmed = false;
     std::map<std::uint32_t, LiveOccurrence> occurrences;
     std::uint32_t nextOccurrence = 0;
     std::size_t activeRuns = 0;
--- a/libs/dispatch/include/dispatch/upstream_scheduler.h
+++ b/libs/dispatch/include/dispatch/upstream_scheduler.h
@@ -41,6 +41,8 @@
     std::size_t workers = 0;
     std::size_t workersUsable = 0;
     std::size_t workflows = 0;
+    /** Workflows that have runs, none of which a worker has confirmed. */
+    std::size_t workflowsUnconfirmed = 0;
     std::size_t runs = 0;
     std::size_t tasksWaiting = 0;
     Resources capacity;
@@ -138,6 +140,8 @@
     void expectEarlierOrders(UpstreamWorker &worker) const;
     /** Resets the worker for a new incarnation and releases runs that ended with the old one. */
     void beginIncarnation(UpstreamWorker &worker, const WorkerRecord &record, Effects &effects);
+    /** Records that a worker has begun a task of the workflow. */
+    void confirmStart(const WorkflowId &id);
     /** Updates the run from the worker's report. Returns false if the scheduler has no such run. */
     bool recordReportedRun(UpstreamWorker &worker, const RunningEntry &entry);
     /**
--- a/libs/dispatch/src/upstream_scheduler.cpp
+++ b/libs/dispatch/src/upstream_scheduler.cpp
@@ -352,11 +352,11 @@
     const auto millis = [](Duration time) {
         return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
     };
-    spdlog::info("event=board upstream={} workers={} usable={} workflows={} runs={} waiting={} "
-                 "cpu={}/{} questions={} passes={} pass-time={}ms lateness={}ms max-lateness={}ms "
+    spdlog::info("event=board upstream={} workers={} usable={} workflows={} unconfirmed={} runs={} "
+                 "waiting={} cpu={}/{} questions={} passes={} pass-time={}ms lateness={}ms max-lateness={}ms "
                  "placed={} placed-late={} advice={}",
-                 this->upstream, stats.workers, stats.workersUsable, stats.workflows, stats.runs,
-                 stats.tasksWaiting, stats.reserved.cpu.value, stats.capacity.cpu.value,
+                 this->upstream, stats.workers, stats.workersUsable, stats.workflows,
+                 stats.workflowsUnconfirmed, stats.runs, stats.tasksWaiting, stats.reserved.cpu.value, stats.capacity.cpu.value,
                  stats.pendingAdviceRequests, this->activity.passes,
                  millis(this->activity.passTime), millis(this->lateness),
                  millis(this->activity.maxLateness), this->activity.placedTasks,
@@ -380,6 +380,7 @@
     }
     stats.workflows = this->workflows.size();
     for (const auto &[id, workflow] : this->workflows) {
+        stats.workflowsUnconfirmed += workflow.activeRuns > 0 && !workflow.startConfirmed ? 1 : 0;
         for (const auto &[number, occurrence] : workflow.occurrences) {
             for (const LiveStep &step : occurrence) {
                 stats.tasksWaiting += step.ready ? step.waiting : 0;
--- a/libs/dispatch/src/upstream_scheduler_runs.cpp
+++ b/libs/dispatch/src/upstream_scheduler_runs.cpp
@@ -154,6 +154,10 @@
 void UpstreamScheduler::onStartReply(const TaskKey &key, RunNumber run, const InstanceId &id,
                                      const Result<StartReply> &result, Effects &effects)
 {
+    const bool started = ok(result) && valueOf(result).result == StartResult::Started;
+    if (started) {
+        this->confirmStart(key.workflow);
+    }
     LiveTask *task = this->findTask(key);
     const auto worker = this->workers.find(id);
     if (task == nullptr || !task->run || task->run->number != run || task->run->worker != id
@@ -162,7 +166,7 @@
             && task->run->phase != RunPhase::OutcomeUnknown)) {
         return;
     }
-    if (ok(result) && valueOf(result).result == StartResult::Started) {
+    if (started) {
         spdlog::debug("event=run-confirmed task={} run={} worker={}", toString(key), run.value,
                       id.value);
         if (task->run->phase == RunPhase::Ordered) {
--- a/libs/dispatch/src/upstream_scheduler_workers.cpp
+++ b/libs/dispatch/src/upstream_scheduler_workers.cpp
@@ -316,6 +316,7 @@
     this->recordClock(worker, reply.clock, now);
     std::vector<RunningEntry> orphanedRuns;
     for (const RunningEntry &entry : reply.running) {
+        this->confirmStart(entry.task.workflow);
         if (!this->recordReportedRun(worker, entry)) {
             orphanedRuns.push_back(entry);
         }
@@ -329,6 +330,14 @@
     renewAfter(reply.ended.empty() ? Duration::zero() : pause);
 }
 
+void UpstreamScheduler::confirmStart(const WorkflowId &id)
+{
+    const auto found = this->workflows.find(id);
+    if (found != this->workflows.end()) {
+        found->second.startConfirmed = true;
+    }
+}
+
 bool UpstreamScheduler::recordReportedRun(UpstreamWorker &worker, const RunningEntry &entry)
 {
     LiveTask *task = this->findTask(entry.task);
@@ -402,6 +411,7 @@
             continue;
         }
         worker.lastSeenEnd = end.number;
+        this->confirmStart(end.task.workflow);
         LiveTask *task = this->findTask(end.task);
         const bool current = task != nullptr && task->run && task->run->number == end.run
             && task->run->worker == worker.record.id;
