Count work as waiting until a worker has begun it

Cause: a stored assignment was taken for a start. WorkflowState made a workflow running, and took it out of its queue's count, when a run was assigned, before the order was sent. A start that got no answer, was refused or was never sent left the workflow waiting and uncounted for good, and its state read as running.

Change: only a worker's answer to a start, its report of a run, or the end of a run makes a workflow running. The leader collects such proofs for 200 ms and stores them with the new command RecordStarts; an end of a run that is stored records the start as well. So a new leader knows what began before its term, and learns the rest from reports.

CompletesOnlyWhenEveryTaskIsDone held the fault for right: it expected 0 waiting workflows after an assignment. It now expects 1 until the first end, and then 0.

--- a/libs/dispatch/include/dispatch/upstream_scheduler.h
+++ b/libs/dispatch/include/dispatch/upstream_scheduler.h
@@ -140,8 +140,6 @@
     void expectEarlierOrders(UpstreamWorker &worker) const;
     /** Resets the worker for a new incarnation and releases runs that ended with the old one. */
     void beginIncarnation(UpstreamWorker &worker, const WorkerRecord &record, Effects &effects);
-    /** Records that a worker has begun a task of the workflow. */
-    void confirmStart(const WorkflowId &id);
     /** Updates the run from the worker's report. Returns false if the scheduler has no such run. */
     bool recordReportedRun(UpstreamWorker &worker, const RunningEntry &entry);
     /**
@@ -167,6 +165,14 @@
                       const std::vector<std::uint64_t> &numbers, const EndRuns &command,
                       const Result<CommandOutcome> &result, Effects &effects);
 
+    // upstream_scheduler_starts.cpp: proof that workflows have begun.
+    /** Notes that a worker has begun a task of the workflow, and has that stored soon. */
+    void confirmStart(const WorkflowId &id);
+    void storeStartsAfter(std::chrono::milliseconds delay);
+    /** Proposes a record of the confirmed starts that the replicated state lacks. */
+    void storeStarts(Effects &effects);
+    void onStartsNotStored(const RecordStarts &command, const Error &error);
+
     // upstream_scheduler_runs.cpp: assignments, starts and stops of runs.
     void proposeAssignments(std::vector<RunAssignment> runs, Effects &effects);
     /** Sends the starts of stored assignments and releases the others. */
@@ -298,6 +304,9 @@
      * For each queue, the running mean of the fraction of listed workers that the adviser allows.
      */
     std::map<std::string, double> allowedShare;
+    /** Workflows with a confirmed start that is not proposed yet. */
+    std::vector<WorkflowId> unstoredStarts;
+    bool startStorageScheduled = false;
     /** Workers with a failed order, and when the last one failed; older entries are removed. */
     std::map<InstanceId, SteadyTime> recentOrderFailures;
     std::map<InstanceId, UpstreamWorker> workers;
--- a/libs/dispatch/src/upstream_scheduler.cpp
+++ b/libs/dispatch/src/upstream_scheduler.cpp
@@ -124,6 +124,7 @@
     live.customer = workflow.customer;
     live.spec = workflow.spec;
     live.criticalPath = criticalPathLength(*workflow.spec);
+    live.startConfirmed = workflow.phase == WorkflowPhase::Running;
     this->findRules(live);
     // A workflow recovered by a new leader has already waited; backdate its acceptance on this
     // clock.
@@ -353,12 +354,13 @@
         return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
     };
     spdlog::info("event=board upstream={} workers={} usable={} workflows={} unconfirmed={} runs={} "
-                 "waiting={} cpu={}/{} questions={} passes={} pass-time={}ms lateness={}ms max-lateness={}ms "
+                 "waiting={} cpu={}/{} questions={} passes={} pass-time={}ms lateness={}ms "
+                 "max-lateness={}ms "
                  "placed={} placed-late={} advice={}",
                  this->upstream, stats.workers, stats.workersUsable, stats.workflows,
-                 stats.workflowsUnconfirmed, stats.runs, stats.tasksWaiting, stats.reserved.cpu.value, stats.capacity.cpu.value,
-                 stats.pendingAdviceRequests, this->activity.passes,
-                 millis(this->activity.passTime), millis(this->lateness),
+                 stats.workflowsUnconfirmed, stats.runs, stats.tasksWaiting,
+                 stats.reserved.cpu.value, stats.capacity.cpu.value, stats.pendingAdviceRequests,
+                 this->activity.passes, millis(this->activity.passTime), millis(this->lateness),
                  millis(this->activity.maxLateness), this->activity.placedTasks,
                  this->activity.placedLateTasks, this->activity.adviceRequests);
     this->activity = {};
--- /dev/null
+++ b/libs/dispatch/src/upstream_scheduler_starts.cpp
@@ -0,0 +1,79 @@
+// The proof that workflows of an upstream scheduler have begun. A stored assignment is none, since
+// its start may be refused or lost; the answer to a start and the worker's report are.
+
+#include <dispatch/upstream_scheduler.h>
+
+#include <spdlog/spdlog.h>
+
+namespace gooseberry {
+
+namespace {
+
+/**
+ * How long confirmed starts are collected for one command. Counts of waiting work are out of date
+ * by this time and that of a commit, together at most 2 s.
+ */
+constexpr std::chrono::milliseconds startStorageDelay{200};
+/** Delay before starts that could not be stored are proposed again. */
+constexpr std::chrono::milliseconds startStorageRetryDelay{400};
+
+} // namespace
+
+void UpstreamScheduler::confirmStart(const WorkflowId &id)
+{
+    const auto found = this->workflows.find(id);
+    if (found == this->workflows.end() || found->second.startConfirmed) {
+        return;
+    }
+    found->second.startConfirmed = true;
+    this->unstoredStarts.push_back(id);
+    this->storeStartsAfter(startStorageDelay);
+}
+
+void UpstreamScheduler::storeStartsAfter(std::chrono::milliseconds delay)
+{
+    if (this->startStorageScheduled) {
+        return;
+    }
+    this->startStorageScheduled = true;
+    this->runLater(delay, [this](Effects &later) {
+        this->startStorageScheduled = false;
+        this->storeStarts(later);
+    });
+}
+
+void UpstreamScheduler::storeStarts(Effects &effects)
+{
+    RecordStarts command;
+    for (const WorkflowId &id : this->unstoredStarts) {
+        // The stored end of a run has recorded the start as well.
+        this->context.state.visitWorkflow(id, [&command](const WorkflowRecord &workflow) {
+            if (workflow.phase == WorkflowPhase::Queued) {
+                command.workflows.push_back(workflow.id);
+            }
+        });
+    }
+    this->unstoredStarts.clear();
+    if (command.workflows.empty()) {
+        return;
+    }
+    effects.push_back([self = this->shared_from_this(), command = std::move(command)]() {
+        self->context.log.propose(command, [self, command](const Result<CommandOutcome> &result) {
+            if (!ok(result)) {
+                self->runLocked(
+                    [&](Effects &) { self->onStartsNotStored(command, errorOf(result)); });
+            }
+        });
+    });
+}
+
+void UpstreamScheduler::onStartsNotStored(const RecordStarts &command, const Error &error)
+{
+    spdlog::warn("event=starts-not-stored workflows={} {}", command.workflows.size(),
+                 describe(error));
+    this->unstoredStarts.insert(this->unstoredStarts.end(), command.workflows.begin(),
+                                command.workflows.end());
+    this->storeStartsAfter(startStorageRetryDelay);
+}
+
+} // namespace gooseberry
--- a/libs/dispatch/src/upstream_scheduler_workers.cpp
+++ b/libs/dispatch/src/upstream_scheduler_workers.cpp
@@ -330,14 +330,6 @@
     renewAfter(reply.ended.empty() ? Duration::zero() : pause);
 }
 
-void UpstreamScheduler::confirmStart(const WorkflowId &id)
-{
-    const auto found = this->workflows.find(id);
-    if (found != this->workflows.end()) {
-        found->second.startConfirmed = true;
-    }
-}
-
 bool UpstreamScheduler::recordReportedRun(UpstreamWorker &worker, const RunningEntry &entry)
 {
     LiveTask *task = this->findTask(entry.task);
--- /dev/null
+++ b/libs/dispatch/test/start_confirmation_test.cpp
@@ -0,0 +1,122 @@
+// Tests of what the cell takes as proof that a workflow has begun. Callers saw too small a count of
+// waiting work when the assignment of a run was taken for its start.
+
+#include <boost/test/unit_test.hpp>
+
+#include "dispatch_fixture.h"
+
+using namespace gooseberry;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct StartConfirmationFixture : DispatchFixture
+{
+    void submitMany(std::size_t count)
+    {
+        for (std::size_t number = 0; number < count; ++number) {
+            this->submit("w" + std::to_string(number), {step(1)});
+        }
+    }
+
+    void changeWorkers(const std::function<void(FakeWorker &)> &change)
+    {
+        for (auto &[id, worker] : this->workers.workers) {
+            change(worker);
+        }
+    }
+
+    std::size_t waitingCount() const
+    {
+        return this->state.queuedCount("queue");
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(StartConfirmationTest, StartConfirmationFixture)
+
+BOOST_AUTO_TEST_CASE(CountsWorkAsWaitingWhileItsStartsGetNoAnswer)
+{
+    this->changeWorkers([](FakeWorker &worker) { worker.startsUnanswered = true; });
+    this->submitMany(10);
+    this->run(6000ms);
+    BOOST_TEST(!this->workers.delayedStarts.empty());
+    BOOST_TEST(this->waitingCount() == 10U);
+    BOOST_TEST((this->phase(WorkflowId("w0")) == WorkflowPhase::Queued));
+    this->changeWorkers([](FakeWorker &worker) { worker.startsUnanswered = false; });
+    this->run(6000ms);
+    BOOST_TEST(this->workers.runningTasks() == 10U);
+    BOOST_TEST(this->waitingCount() == 0U);
+    BOOST_TEST((this->phase(WorkflowId("w0")) == WorkflowPhase::Running));
+}
+
+BOOST_AUTO_TEST_CASE(CountsWorkAsWaitingWhileWorkersRefuseItsStarts)
+{
+    this->changeWorkers([](FakeWorker &worker) { worker.startResult = StartResult::Unhealthy; });
+    this->submitMany(10);
+    this->run(6000ms);
+    BOOST_TEST(this->waitingCount() == 10U);
+}
+
+BOOST_AUTO_TEST_CASE(CountsWorkAsWaitingUnderANewLeaderThatHasHeardNothing)
+{
+    this->changeWorkers([](FakeWorker &worker) { worker.startsUnanswered = true; });
+    this->submitMany(10);
+    this->run(500ms);
+    this->changeWorkers([](FakeWorker &worker) { worker.unresponsive = true; });
+    this->changeLeader();
+    BOOST_TEST(this->waitingCount() == 10U);
+    this->run(3000ms);
+    BOOST_TEST(this->waitingCount() == 10U);
+}
+
+BOOST_AUTO_TEST_CASE(TakesTheReportOfARunForItsStartIfTheAnswerWasLost)
+{
+    this->changeWorkers([](FakeWorker &worker) { worker.startsUnanswered = true; });
+    this->submitMany(4);
+    this->run(100ms);
+    this->workers.deliverDelayedStarts();
+    BOOST_TEST(this->workers.runningTasks() == 4U);
+    this->run(600ms);
+    BOOST_TEST(this->waitingCount() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(ANewLeaderLearnsOfStartsThatWereNotStored)
+{
+    this->submitMany(4);
+    this->run(100ms);
+    BOOST_TEST(this->workers.runningTasks() == 4U);
+    this->log.leads = false;
+    this->run(1000ms);
+    BOOST_TEST(this->waitingCount() == 4U);
+    this->log.leads = true;
+    this->changeLeader();
+    this->run(1000ms);
+    BOOST_TEST(this->waitingCount() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(StoresAStartAgainThatWasNotStored)
+{
+    this->submitMany(4);
+    this->run(100ms);
+    this->log.leads = false;
+    this->run(300ms);
+    this->log.leads = true;
+    this->run(1000ms);
+    BOOST_TEST(this->waitingCount() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(StoresTheStartsOfManyWorkflowsTogether)
+{
+    this->run(300ms);
+    this->submitMany(30);
+    this->run(100ms);
+    BOOST_TEST(this->workers.runningTasks() == 30U);
+    const std::size_t proposalsBefore = this->log.proposals;
+    this->run(500ms);
+    BOOST_TEST(this->waitingCount() == 0U);
+    BOOST_TEST(this->log.proposals - proposalsBefore == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/libs/workflow/include/workflow/command.h
+++ b/libs/workflow/include/workflow/command.h
@@ -74,6 +74,15 @@
     std::vector<RunAssignment> runs;
 };
 
+/**
+ * Records that workers have begun a task of each workflow. An assignment doesn't tell, since its
+ * start may be refused or lost. Known and ended workflows are left as they are.
+ */
+struct RecordStarts
+{
+    std::vector<WorkflowId> workflows;
+};
+
 /** The result of a run in the replicated state, which tells only success from failure. */
 enum class StoredResult : std::uint8_t {
     Done,
@@ -116,7 +125,7 @@
 };
 
 using WorkflowCommand = std::variant<PutConfig, AcceptWorkflow, AssignRuns, EndRuns, CancelWorkflow,
-                                     SetEvacuation, AnnounceWorker, ForgetWorker>;
+                                     SetEvacuation, AnnounceWorker, ForgetWorker, RecordStarts>;
 
 /** A command with the node that proposed it and the cell time of the proposal. */
 struct ProposedCommand
--- a/libs/workflow/include/workflow/records.h
+++ b/libs/workflow/include/workflow/records.h
@@ -134,6 +134,12 @@
     codec(value.id, value.incarnation);
 }
 
+template<typename Codec>
+void fields(Codec &codec, RecordStarts &value)
+{
+    codec(value.workflows);
+}
+
 template<typename Codec>
 void fields(Codec &codec, StoredTask &value)
 {
--- a/libs/workflow/include/workflow/workflow_state.h
+++ b/libs/workflow/include/workflow/workflow_state.h
@@ -15,8 +15,8 @@
 namespace gooseberry {
 
 enum class WorkflowPhase : std::uint8_t {
-    Queued, ///< Accepted; no task has started.
-    Running,
+    Queued, ///< Accepted; no worker is known to have begun a task.
+    Running, ///< A worker has begun a task.
     Completed,
     Failed,
     Cancelled,
@@ -109,8 +109,8 @@
     std::shared_ptr<const RulesInForce> rules() const;
     std::optional<WorkflowStatus> status(const WorkflowId &id) const;
     /**
-     * Returns the number of accepted workflows that have not started a task and for which the rule
-     * of the named queue applies.
+     * Returns the number of accepted workflows of which no worker is known to have begun a task and
+     * for which the rule of the named queue applies.
      */
     std::size_t queuedCount(const std::string &queue) const;
     std::set<FailureDomainId> evacuated() const;
@@ -145,11 +145,14 @@
     CommandOutcome execute(const SetEvacuation &command);
     CommandOutcome execute(const AnnounceWorker &command);
     CommandOutcome execute(const ForgetWorker &command);
+    CommandOutcome execute(const RecordStarts &command);
 
     NamesInUse namesInUse() const;
     Shard &shardOf(const WorkflowId &id);
     const Shard &shardOf(const WorkflowId &id) const;
-    bool assign(Shard &shard, const RunAssignment &assignment);
+    static bool assign(Shard &shard, const RunAssignment &assignment);
+    /** Notes that a worker has begun a task. Returns whether that was not known before. */
+    static bool recordStart(Shard &shard, WorkflowRecord &workflow);
     /** Returns whether the end was accepted. */
     bool applyEnd(Shard &shard, const RunEnd &end, CommandOutcome &outcome);
     /** Returns whether the step is complete. */
--- a/libs/workflow/src/workflow_state.cpp
+++ b/libs/workflow/src/workflow_state.cpp
@@ -142,7 +142,7 @@
     for (const RunAssignment &assignment : command.runs) {
         Shard &shard = this->shardOf(assignment.task.workflow);
         const std::lock_guard lock(shard.mutex);
-        outcome.accepted.push_back(this->assign(shard, assignment));
+        outcome.accepted.push_back(assign(shard, assignment));
     }
     return outcome;
 }
@@ -167,13 +167,33 @@
     state.worker = assignment.worker;
     state.incarnation = assignment.incarnation;
     state.checkpoint = assignment.checkpoint;
-    if (workflow.phase == WorkflowPhase::Queued) {
-        workflow.phase = WorkflowPhase::Running;
-        --shard.queued[workflow.queue];
+    return true;
+}
+
+bool WorkflowState::recordStart(Shard &shard, WorkflowRecord &workflow)
+{
+    if (workflow.phase != WorkflowPhase::Queued) {
+        return false;
     }
+    workflow.phase = WorkflowPhase::Running;
+    --shard.queued[workflow.queue];
     return true;
 }
 
+CommandOutcome WorkflowState::execute(const RecordStarts &command)
+{
+    CommandOutcome outcome;
+    for (const WorkflowId &id : command.workflows) {
+        Shard &shard = this->shardOf(id);
+        const std::lock_guard lock(shard.mutex);
+        const auto found = shard.workflows.find(id.value);
+        if (found != shard.workflows.end() && recordStart(shard, found->second)) {
+            outcome.changed = true;
+        }
+    }
+    return outcome;
+}
+
 CommandOutcome WorkflowState::execute(const EndRuns &command)
 {
     CommandOutcome outcome;
@@ -193,7 +213,12 @@
     }
     WorkflowRecord &workflow = found->second;
     const FoundTask task = findTask(workflow, end.task);
-    if (task.step == nullptr || task.step->tasks[end.task.index].phase == StoredTaskPhase::Done) {
+    if (task.step == nullptr) {
+        return false;
+    }
+    // Only a run that a worker has begun can end, whether or not its result still counts.
+    recordStart(shard, workflow);
+    if (task.step->tasks[end.task.index].phase == StoredTaskPhase::Done) {
         return false;
     }
     if (end.result == StoredResult::Failed) {
--- a/libs/workflow/test/workflow_state_test.cpp
+++ b/libs/workflow/test/workflow_state_test.cpp
@@ -100,14 +100,42 @@
     this->accept("a", {step(2)});
     BOOST_TEST(this->assign("a", 0, 1));
     BOOST_TEST(this->assign("a", 1, 1));
-    BOOST_TEST(this->state.queuedCount("queue") == 0U);
+    BOOST_TEST(this->state.queuedCount("queue") == 1U);
     this->end("a", 0, 1, StoredResult::Done);
+    BOOST_TEST(this->state.queuedCount("queue") == 0U);
     BOOST_TEST((this->phase("a") == WorkflowPhase::Running));
     const CommandOutcome last = this->end("a", 1, 1, StoredResult::Done);
     BOOST_TEST((this->phase("a") == WorkflowPhase::Completed));
     BOOST_REQUIRE(last.ended.size() == 1U);
 }
 
+// The count left out a workflow from its first assignment on, although the start could be refused
+// or lost, so that callers saw a short queue while much work waited.
+BOOST_AUTO_TEST_CASE(CountsAssignedWorkAsWaitingUntilAWorkerHasBegunIt)
+{
+    this->accept("a", {step(1)});
+    this->accept("b", {step(1)});
+    this->accept("c", {step(1)});
+    this->assign("a", 0, 1);
+    this->assign("b", 0, 1);
+    BOOST_TEST(this->state.queuedCount("queue") == 3U);
+    BOOST_TEST((this->phase("a") == WorkflowPhase::Queued));
+    const RecordStarts start{.workflows = {WorkflowId("a"), WorkflowId("unknown")}};
+    BOOST_TEST(this->apply(start).changed);
+    BOOST_TEST(!this->apply(start).changed);
+    BOOST_TEST(this->state.queuedCount("queue") == 2U);
+    BOOST_TEST((this->phase("a") == WorkflowPhase::Running));
+    WorkflowState copy{1min};
+    BOOST_REQUIRE(ok(copy.restore(this->state.snapshot())));
+    BOOST_TEST(copy.queuedCount("queue") == 2U);
+    this->end("b", 0, 1, StoredResult::Failed);
+    BOOST_TEST(this->state.queuedCount("queue") == 1U);
+    this->apply(CancelWorkflow{.id = WorkflowId("c")});
+    BOOST_TEST(!this->apply(RecordStarts{.workflows = {WorkflowId("c")}}).changed);
+    BOOST_TEST((this->phase("c") == WorkflowPhase::Cancelled));
+    BOOST_TEST(this->state.queuedCount("queue") == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(RejectsRunsOfFinishedCancelledOrSupersededTasks)
 {
     this->accept("a", {step(2)});
