Confirm starts without a second lookup, and log what was stored

Each row of a worker's report was looked up twice, once for its start; at the target size a report lists thousands of runs a second. No line at info level said why work left the count, and no test had a run that is known only by its end or as a released run that a worker lists.

--- a/libs/dispatch/include/dispatch/upstream_scheduler.h
+++ b/libs/dispatch/include/dispatch/upstream_scheduler.h
@@ -167,7 +167,7 @@
 
     // upstream_scheduler_starts.cpp: proof that workflows have begun.
     /** Notes that a worker has begun a task of the workflow, and has that stored soon. */
-    void confirmStart(const WorkflowId &id);
+    void confirmStart(LiveWorkflow &workflow);
     void storeStartsAfter(std::chrono::milliseconds delay);
     /** Proposes a record of the confirmed starts that the replicated state lacks. */
     void storeStarts(Effects &effects);
--- a/libs/dispatch/src/upstream_scheduler.cpp
+++ b/libs/dispatch/src/upstream_scheduler.cpp
@@ -355,8 +355,7 @@
     };
     spdlog::info("event=board upstream={} workers={} usable={} workflows={} unconfirmed={} runs={} "
                  "waiting={} cpu={}/{} questions={} passes={} pass-time={}ms lateness={}ms "
-                 "max-lateness={}ms "
-                 "placed={} placed-late={} advice={}",
+                 "max-lateness={}ms placed={} placed-late={} advice={}",
                  this->upstream, stats.workers, stats.workersUsable, stats.workflows,
                  stats.workflowsUnconfirmed, stats.runs, stats.tasksWaiting,
                  stats.reserved.cpu.value, stats.capacity.cpu.value, stats.pendingAdviceRequests,
--- a/libs/dispatch/src/upstream_scheduler_runs.cpp
+++ b/libs/dispatch/src/upstream_scheduler_runs.cpp
@@ -155,10 +155,12 @@
                                      const Result<StartReply> &result, Effects &effects)
 {
     const bool started = ok(result) && valueOf(result).result == StartResult::Started;
-    if (started) {
-        this->confirmStart(key.workflow);
+    LiveWorkflow *workflow = nullptr;
+    LiveStep *step = nullptr;
+    LiveTask *task = this->findTask(key, &workflow, &step);
+    if (started && task != nullptr) {
+        this->confirmStart(*workflow);
     }
-    LiveTask *task = this->findTask(key);
     const auto worker = this->workers.find(id);
     if (task == nullptr || !task->run || task->run->number != run || task->run->worker != id
         || worker == this->workers.end()
@@ -204,9 +206,6 @@
         this->avoidWorker(worker->second, initialAvoidance, reason);
     }
     if (ok(result) && valueOf(result).result == StartResult::NoTicket) {
-        LiveWorkflow *workflow = nullptr;
-        LiveStep *step = nullptr;
-        this->findTask(key, &workflow, &step);
         std::erase_if(step->allowed, [&](const AllowedWorker &allowed) {
             return allowed.slot == worker->second.slot;
         });
--- a/libs/dispatch/src/upstream_scheduler_starts.cpp
+++ b/libs/dispatch/src/upstream_scheduler_starts.cpp
@@ -1,5 +1,5 @@
-// The proof that workflows of an upstream scheduler have begun. A stored assignment is none, since
-// its start may be refused or lost; the answer to a start and the worker's report are.
+// The proof that workflows of an upstream scheduler have begun: the answer to a start, or the
+// worker's report. A stored assignment is not a proof, since its start may be refused or lost.
 
 #include <dispatch/upstream_scheduler.h>
 
@@ -10,8 +10,8 @@
 namespace {
 
 /**
- * How long confirmed starts are collected for one command. Counts of waiting work are out of date
- * by this time and that of a commit, together at most 2 s.
+ * How long confirmed starts are collected for one command. Well under the 2 s by which a count of
+ * waiting work may be out of date.
  */
 constexpr std::chrono::milliseconds startStorageDelay{200};
 /** Delay before starts that could not be stored are proposed again. */
@@ -19,14 +19,13 @@
 
 } // namespace
 
-void UpstreamScheduler::confirmStart(const WorkflowId &id)
+void UpstreamScheduler::confirmStart(LiveWorkflow &workflow)
 {
-    const auto found = this->workflows.find(id);
-    if (found == this->workflows.end() || found->second.startConfirmed) {
+    if (workflow.startConfirmed) {
         return;
     }
-    found->second.startConfirmed = true;
-    this->unstoredStarts.push_back(id);
+    workflow.startConfirmed = true;
+    this->unstoredStarts.push_back(workflow.id);
     this->storeStartsAfter(startStorageDelay);
 }
 
@@ -59,18 +58,20 @@
     }
     effects.push_back([self = this->shared_from_this(), command = std::move(command)]() {
         self->context.log.propose(command, [self, command](const Result<CommandOutcome> &result) {
-            if (!ok(result)) {
-                self->runLocked(
-                    [&](Effects &) { self->onStartsNotStored(command, errorOf(result)); });
+            if (ok(result)) {
+                spdlog::info("event=starts-stored upstream={} workflows={}", self->upstream,
+                             command.workflows.size());
+                return;
             }
+            self->runLocked([&](Effects &) { self->onStartsNotStored(command, errorOf(result)); });
         });
     });
 }
 
 void UpstreamScheduler::onStartsNotStored(const RecordStarts &command, const Error &error)
 {
-    spdlog::warn("event=starts-not-stored workflows={} {}", command.workflows.size(),
-                 describe(error));
+    spdlog::warn("event=starts-not-stored upstream={} workflows={} {}", this->upstream,
+                 command.workflows.size(), describe(error));
     this->unstoredStarts.insert(this->unstoredStarts.end(), command.workflows.begin(),
                                 command.workflows.end());
     this->storeStartsAfter(startStorageRetryDelay);
--- a/libs/dispatch/src/upstream_scheduler_workers.cpp
+++ b/libs/dispatch/src/upstream_scheduler_workers.cpp
@@ -316,7 +316,6 @@
     this->recordClock(worker, reply.clock, now);
     std::vector<RunningEntry> orphanedRuns;
     for (const RunningEntry &entry : reply.running) {
-        this->confirmStart(entry.task.workflow);
         if (!this->recordReportedRun(worker, entry)) {
             orphanedRuns.push_back(entry);
         }
@@ -332,9 +331,13 @@
 
 bool UpstreamScheduler::recordReportedRun(UpstreamWorker &worker, const RunningEntry &entry)
 {
-    LiveTask *task = this->findTask(entry.task);
-    if (task == nullptr || !task->run || task->run->number != entry.run
-        || task->run->worker != worker.record.id) {
+    LiveWorkflow *workflow = nullptr;
+    LiveTask *task = this->findTask(entry.task, &workflow);
+    if (task == nullptr) {
+        return false;
+    }
+    this->confirmStart(*workflow);
+    if (!task->run || task->run->number != entry.run || task->run->worker != worker.record.id) {
         return false;
     }
     LiveRun &run = *task->run;
@@ -403,8 +406,11 @@
             continue;
         }
         worker.lastSeenEnd = end.number;
-        this->confirmStart(end.task.workflow);
-        LiveTask *task = this->findTask(end.task);
+        LiveWorkflow *workflow = nullptr;
+        LiveTask *task = this->findTask(end.task, &workflow);
+        if (task != nullptr) {
+            this->confirmStart(*workflow);
+        }
         const bool current = task != nullptr && task->run && task->run->number == end.run
             && task->run->worker == worker.record.id;
         if (end.kind == EndKind::Done || end.kind == EndKind::Failed) {
--- a/libs/dispatch/test/start_confirmation_test.cpp
+++ b/libs/dispatch/test/start_confirmation_test.cpp
@@ -40,9 +40,11 @@
 {
     this->changeWorkers([](FakeWorker &worker) { worker.startsUnanswered = true; });
     this->submitMany(10);
-    this->run(6000ms);
+    for (std::chrono::milliseconds passed{0}; passed < 6000ms; passed += 100ms) {
+        this->run(100ms);
+        BOOST_TEST(this->waitingCount() == 10U);
+    }
     BOOST_TEST(!this->workers.delayedStarts.empty());
-    BOOST_TEST(this->waitingCount() == 10U);
     BOOST_TEST((this->phase(WorkflowId("w0")) == WorkflowPhase::Queued));
     this->changeWorkers([](FakeWorker &worker) { worker.startsUnanswered = false; });
     this->run(6000ms);
@@ -82,6 +84,38 @@
     BOOST_TEST(this->waitingCount() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(TakesTheEndOfARunForItsStartIfNothingElseWasHeard)
+{
+    this->changeWorkers([](FakeWorker &worker) { worker.startsUnanswered = true; });
+    const WorkflowId id = this->submit("w", {step(1)});
+    this->run(100ms);
+    BOOST_REQUIRE(this->workers.delayedStarts.size() == 1U);
+    const InstanceId worker = this->workers.delayedStarts.front().first;
+    this->changeWorkers([](FakeWorker &silent) { silent.renewalsUnanswered = true; });
+    this->run(1000ms);
+    this->workers.deliverDelayedStarts();
+    this->workers.end(worker, task(id, 0), EndKind::Lapsed);
+    BOOST_TEST(this->waitingCount() == 1U);
+    this->changeWorkers([](FakeWorker &silent) { silent.renewalsUnanswered = false; });
+    this->run(3000ms);
+    BOOST_TEST(this->waitingCount() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(TakesTheReportOfAReleasedRunForItsStart)
+{
+    this->changeWorkers([](FakeWorker &worker) { worker.startsUnanswered = true; });
+    this->submit("w", {step(1)});
+    this->run(100ms);
+    this->workers.deliverDelayedStarts();
+    this->changeWorkers([](FakeWorker &worker) { worker.unresponsive = true; });
+    this->run(20'000ms);
+    BOOST_TEST(this->dispatcher.stats().at("upstream").runs == 0U);
+    BOOST_TEST(this->waitingCount() == 1U);
+    this->changeWorkers([](FakeWorker &worker) { worker.unresponsive = false; });
+    this->run(3000ms);
+    BOOST_TEST(this->waitingCount() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(ANewLeaderLearnsOfStartsThatWereNotStored)
 {
     this->submitMany(4);
@@ -100,8 +134,11 @@
 {
     this->submitMany(4);
     this->run(100ms);
+    const std::size_t proposalsBefore = this->log.proposals;
     this->log.leads = false;
     this->run(300ms);
+    BOOST_TEST(this->log.proposals > proposalsBefore);
+    BOOST_TEST(this->waitingCount() == 4U);
     this->log.leads = true;
     this->run(1000ms);
     BOOST_TEST(this->waitingCount() == 0U);
--- a/libs/workflow/include/workflow/command.h
+++ b/libs/workflow/include/workflow/command.h
@@ -76,7 +76,8 @@
 
 /**
  * Records that workers have begun a task of each workflow. An assignment doesn't tell, since its
- * start may be refused or lost. Known and ended workflows are left as they are.
+ * start may be refused or lost. Workflows that have begun, have ended or aren't known stay as they
+ * are.
  */
 struct RecordStarts
 {
--- a/libs/workflow/test/workflow_state_test.cpp
+++ b/libs/workflow/test/workflow_state_test.cpp
@@ -226,6 +226,21 @@
     BOOST_TEST(!ok(copy.restore("damaged")));
 }
 
+BOOST_AUTO_TEST_CASE(StoresARecordOfStartsUnderAnIndexOfItsOwn)
+{
+    const std::string bytes = encodeCommand(
+        ProposedCommand{.origin = 1,
+                        .number = 2,
+                        .at = CellTime(3s),
+                        .command = RecordStarts{.workflows = {WorkflowId("a"), WorkflowId("b")}}});
+    const Result<ProposedCommand> decoded = decodeProposedCommand(bytes);
+    BOOST_REQUIRE(ok(decoded));
+    BOOST_TEST(valueOf(decoded).command.index() == 8U);
+    const auto &starts = std::get<RecordStarts>(valueOf(decoded).command);
+    BOOST_REQUIRE(starts.workflows.size() == 2U);
+    BOOST_TEST(starts.workflows.back().value == "b");
+}
+
 BOOST_AUTO_TEST_CASE(RejectsTruncatedCommands)
 {
     const std::string bytes
