--- a/libs/dispatch/test/start_confirmation_test.cpp
+++ b/libs/dispatch/test/start_confirmation_test.cpp
@@ -92,9 +92,9 @@
     BOOST_REQUIRE(this->workers.delayedStarts.size() == 1U);
     const InstanceId worker = this->workers.delayedStarts.front().first;
     this->changeWorkers([](FakeWorker &silent) { silent.renewalsUnanswered = true; });
-    this->run(1000ms);
     this->workers.deliverDelayedStarts();
-    this->workers.end(worker, task(id, 0), EndKind::Lapsed);
+    this->workers.end(worker, task(id, 0), EndKind::LeaseExpired);
+    this->run(300ms);
     BOOST_TEST(this->waitingCount() == 1U);
     this->changeWorkers([](FakeWorker &silent) { silent.renewalsUnanswered = false; });
     this->run(3000ms);
--- a/libs/workflow/include/workflow/records.h
+++ b/libs/workflow/include/workflow/records.h
@@ -184,8 +184,11 @@
 /** The whole replicated state as stored in a snapshot. */
 struct StoredState
 {
-    /** Version 1 has no retired queues and customers. */
-    std::uint32_t version = 2;
+    /**
+     * Version 1 has no retired queues and customers. Up to version 2, a workflow is running from
+     * its first assignment on.
+     */
+    std::uint32_t version = 3;
     CellTime now;
     std::optional<RoutingConfig> config;
     std::set<FailureDomainId> evacuated;
--- a/libs/workflow/test/workflow_state_test.cpp
+++ b/libs/workflow/test/workflow_state_test.cpp
@@ -226,6 +226,34 @@
     BOOST_TEST(!ok(copy.restore("damaged")));
 }
 
+// Workflows that an earlier version had assigned and no worker had begun stayed out of the count.
+BOOST_AUTO_TEST_CASE(CountsAssignedWorkOfAnEarlierVersionsSnapshotAsWaiting)
+{
+    this->accept("assigned", {step(1)});
+    this->accept("failed", {step(1)});
+    this->accept("done", {step(2)});
+    for (const std::string id : {"assigned", "failed", "done"}) {
+        this->assign(id, 0, 1);
+    }
+    this->end("failed", 0, 1, StoredResult::Failed);
+    this->end("done", 0, 1, StoredResult::Done);
+    Result<StoredState> stored = decodeRecord<StoredState>(this->state.snapshot());
+    BOOST_REQUIRE(ok(stored));
+    valueOf(stored).version = 2;
+    for (StoredWorkflow &workflow : valueOf(stored).workflows) {
+        workflow.record.phase = WorkflowPhase::Running;
+    }
+    WorkflowState copy{1min};
+    BOOST_REQUIRE(ok(copy.restore(encodeRecord(valueOf(stored)))));
+    BOOST_TEST(copy.queuedCount("queue") == 1U);
+    BOOST_TEST((copy.status(WorkflowId("assigned"))->phase == WorkflowPhase::Queued));
+    BOOST_TEST((copy.status(WorkflowId("failed"))->phase == WorkflowPhase::Running));
+    BOOST_TEST((copy.status(WorkflowId("done"))->phase == WorkflowPhase::Running));
+    valueOf(stored).version = 3;
+    BOOST_REQUIRE(ok(copy.restore(encodeRecord(valueOf(stored)))));
+    BOOST_TEST(copy.queuedCount("queue") == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(StoresARecordOfStartsUnderAnIndexOfItsOwn)
 {
     const std::string bytes = encodeCommand(
