Begin occurrences that wait behind a later one after a change of leader

What callers saw: LOST. A submission with two due occurrences, of which only the later one had been assigned, stayed running for good after a change of leader.

Cause: recoverWorkflow continued behind the highest occurrence with an entry in the log. An entry is made by the first assignment of that occurrence and says nothing of earlier ones.

Change: a new leader begins with occurrence 0; beginOccurrences keeps those that were recovered.

Result: before the change ANewLeaderBeginsAnOccurrenceThatWaitsWhileALaterOneRuns fails with 1 running task of 2 and a workflow that doesn't end; with it all tests of dispatch pass (release build).

--- a/libs/cluster/src/node_metrics.cpp
+++ b/libs/cluster/src/node_metrics.cpp
@@ -79,7 +79,8 @@
     add("workers", "Known workers.", stats.workers);
     add("workers_usable", "Workers that may get tasks.", stats.workersUsable);
     add("runs", "Runs that are assigned to workers, begun or not.", stats.runs);
-    add("tasks_waiting", "Tasks whose turn has come and that have no assigned run.", stats.tasksWaiting);
+    add("tasks_waiting", "Tasks whose turn has come and that have no assigned run.",
+        stats.tasksWaiting);
     add("workflows", "Workflows that may still run.", stats.workflows);
     add("workflows_unconfirmed", "Workflows with runs that no worker has confirmed.",
         stats.workflowsUnconfirmed);
--- a/libs/dispatch/src/upstream_scheduler.cpp
+++ b/libs/dispatch/src/upstream_scheduler.cpp
@@ -189,7 +189,6 @@
     for (const auto &[number, stored] : workflow.occurrences) {
         LiveOccurrence &occurrence
             = live.occurrences.emplace(number, this->newOccurrence(live)).first->second;
-        live.nextOccurrence = std::max(live.nextOccurrence, number + 1);
         for (std::uint32_t step = 0; step < stored.size(); ++step) {
             for (std::uint32_t index = 0; index < stored[step].tasks.size(); ++index) {
                 const StoredTask &state = stored[step].tasks[index];
--- a/libs/dispatch/test/dispatch_fixture.cpp
+++ b/libs/dispatch/test/dispatch_fixture.cpp
@@ -338,6 +338,12 @@
     WorkflowSpec spec;
     spec.payload = "payload";
     spec.steps = std::move(steps);
+    return this->submit(id, spec, customer, queue);
+}
+
+WorkflowId DispatchFixture::submit(const std::string &id, const WorkflowSpec &spec,
+                                   const std::string &customer, const std::string &queue)
+{
     this->apply(AcceptWorkflow{.id = WorkflowId(id),
                                .queue = queue,
                                .upstream = "upstream",
--- a/libs/dispatch/test/dispatch_fixture.h
+++ b/libs/dispatch/test/dispatch_fixture.h
@@ -189,6 +189,8 @@
     void changeConfig(const std::function<void(RoutingConfig &)> &change);
     WorkflowId submit(const std::string &id, std::vector<StepSpec> steps,
                       const std::string &customer = "customer", const std::string &queue = "queue");
+    WorkflowId submit(const std::string &id, const WorkflowSpec &spec,
+                      const std::string &customer = "customer", const std::string &queue = "queue");
     void cancel(const WorkflowId &id);
     void announce(const InstanceId &id, const std::function<void(WorkerRecord &)> &change);
     /** Applies the worker's notice that it leaves; the worker itself goes on. */
