--- a/libs/dispatch/src/upstream_scheduler.cpp
+++ b/libs/dispatch/src/upstream_scheduler.cpp
@@ -124,6 +124,7 @@
     live.customer = workflow.customer;
     live.spec = workflow.spec;
     live.criticalPath = criticalPathLength(*workflow.spec);
+    live.startConfirmed = workflow.phase == WorkflowPhase::Running;
     this->findRules(live);
     // A workflow recovered by a new leader has already waited; backdate its acceptance on this
     // clock.
@@ -352,13 +353,14 @@
     const auto millis = [](Duration time) {
         return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
     };
-    spdlog::info("event=board upstream={} workers={} usable={} workflows={} runs={} waiting={} "
-                 "cpu={}/{} questions={} passes={} pass-time={}ms lateness={}ms max-lateness={}ms "
+    spdlog::info("event=board upstream={} workers={} usable={} workflows={} unconfirmed={} runs={} "
+                 "waiting={} cpu={}/{} questions={} passes={} pass-time={}ms lateness={}ms "
+                 "max-lateness={}ms "
                  "placed={} placed-late={} advice={}",
-                 this->upstream, stats.workers, stats.workersUsable, stats.workflows, stats.runs,
-                 stats.tasksWaiting, stats.reserved.cpu.value, stats.capacity.cpu.value,
-                 stats.pendingAdviceRequests, this->activity.passes,
-                 millis(this->activity.passTime), millis(this->lateness),
+                 this->upstream, stats.workers, stats.workersUsable, stats.workflows,
+                 stats.workflowsUnconfirmed, stats.runs, stats.tasksWaiting,
+                 stats.reserved.cpu.value, stats.capacity.cpu.value, stats.pendingAdviceRequests,
+                 this->activity.passes, millis(this->activity.passTime), millis(this->lateness),
                  millis(this->activity.maxLateness), this->activity.placedTasks,
                  this->activity.placedLateTasks, this->activity.adviceRequests);
     this->activity = {};
@@ -380,6 +382,7 @@
     }
     stats.workflows = this->workflows.size();
     for (const auto &[id, workflow] : this->workflows) {
+        stats.workflowsUnconfirmed += workflow.activeRuns > 0 && !workflow.startConfirmed ? 1 : 0;
         for (const auto &[number, occurrence] : workflow.occurrences) {
             for (const LiveStep &step : occurrence) {
                 stats.tasksWaiting += step.ready ? step.waiting : 0;
--- a/libs/dispatch/src/upstream_scheduler_workers.cpp
+++ b/libs/dispatch/src/upstream_scheduler_workers.cpp
@@ -316,6 +316,7 @@
     this->recordClock(worker, reply.clock, now);
     std::vector<RunningEntry> orphanedRuns;
     for (const RunningEntry &entry : reply.running) {
+        this->confirmStart(entry.task.workflow);
         if (!this->recordReportedRun(worker, entry)) {
             orphanedRuns.push_back(entry);
         }
@@ -402,6 +403,7 @@
             continue;
         }
         worker.lastSeenEnd = end.number;
+        this->confirmStart(end.task.workflow);
         LiveTask *task = this->findTask(end.task);
         const bool current = task != nullptr && task->run && task->run->number == end.run
             && task->run->worker == worker.record.id;
