Count the wait for a replaced worker's orders from its first successor

Cause: a later worker at the same address proves that the earlier one has ended, and runs whose start may still be carried out are kept for 15 s from then. Each further announcement at that address, of another worker or of the same one, was taken for a new end and restarted the 15 s.

Change: a worker is marked as replaced once; further announcements leave it as it is.

--- a/libs/dispatch/include/dispatch/upstream_scheduler.h
+++ b/libs/dispatch/include/dispatch/upstream_scheduler.h
@@ -168,9 +168,11 @@
     // upstream_scheduler_starts.cpp: proof that workflows have begun.
     /** Notes that a worker has begun a task of the workflow, and has that stored soon. */
     void confirmStart(LiveWorkflow &workflow);
+    /** Schedules storeStarts(), unless that was done. */
     void storeStartsAfter(std::chrono::milliseconds delay);
     /** Proposes a record of the confirmed starts that the replicated state lacks. */
     void storeStarts(Effects &effects);
+    /** Keeps the starts for another command. */
     void onStartsNotStored(const RecordStarts &command, const Error &error);
 
     // upstream_scheduler_runs.cpp: assignments, starts and stops of runs.
--- a/libs/dispatch/include/dispatch/upstream_worker.h
+++ b/libs/dispatch/include/dispatch/upstream_worker.h
@@ -89,6 +89,8 @@
      * for seconds, so its runs count until they are known to have ended.
      */
     bool left = false;
+    /** A later worker has announced itself at this one's address, so this incarnation has ended. */
+    bool replaced = false;
     bool renewalInFlight = false;
     bool renewalScheduled = false;
     /** The last lease renewal got no answer. */
--- a/libs/dispatch/src/upstream_scheduler_workers.cpp
+++ b/libs/dispatch/src/upstream_scheduler_workers.cpp
@@ -89,10 +89,12 @@
         this->recordRoomGained(worker);
         // A later incarnation at the same address proves that this worker's incarnation has ended.
         for (auto &[id, other] : this->workers) {
-            if (id != record.id && other.record.address == record.address
+            if (id != record.id && !other.replaced && other.record.address == record.address
                 && other.record.incarnation < record.incarnation) {
                 this->beginIncarnation(other, other.record, effects);
                 other.lastContact = SteadyTime{};
+                // Further announcements at the address don't restart the wait for delayed orders.
+                other.replaced = true;
             }
         }
         this->schedulePlacement(effects);
@@ -114,6 +116,7 @@
     worker.unstoredEnds.clear();
     worker.fenceConfirmed = false;
     worker.left = false;
+    worker.replaced = false;
     ++worker.restarts;
     worker.failuresInRow = 0;
     worker.lastRenewalFailed = false;
