Trial: count a submission from its arrival at the first node

Cause looked for: a request carries no age, so work that an entry node has held through an outage of 6.5 s counts as new at the leader and is started before work that can still meet its objective.

Change: each attempt tells how long the request has waited, in the byte that says whether it was relayed ('0' and '1' without a waiting time, as before, so requests of earlier versions read as new and an earlier leader serves all). The leader sets the time of the proposal back by it, and a workflow's objective is counted from that time. The format of the log is unchanged.

--- a/libs/cluster/src/workflow_log.cpp
+++ b/libs/cluster/src/workflow_log.cpp
@@ -19,6 +19,12 @@
 }
 
 void WorkflowLog::propose(WorkflowCommand command, Callback done)
+{
+    this->proposeWaited(std::move(command), std::chrono::milliseconds(0), std::move(done));
+}
+
+void WorkflowLog::proposeWaited(WorkflowCommand command, std::chrono::milliseconds waited,
+                                Callback done)
 {
     if (this->replica == nullptr) {
         done(Error{.code = ErrorCode::NotLeader,
@@ -31,7 +37,7 @@
     const std::uint64_t number = ++this->lastNumber;
     const ProposedCommand proposed{.origin = this->origin,
                                    .number = number,
-                                   .at = this->cellNow(),
+                                   .at = this->cellNow() - waited,
                                    .command = std::move(command)};
     {
         Shard &shard = this->shardOf(number);
--- a/libs/cluster/test/leader_request_test.cpp
+++ b/libs/cluster/test/leader_request_test.cpp
@@ -8,6 +8,7 @@
 #include <link/link.h>
 
 #include "cluster_records.h"
+#include "request_header.h"
 #include "test_node.h"
 
 using namespace gooseberry;
@@ -27,10 +28,11 @@
         settings.self = peerId(settings.listen);
         settings.cellName = "cell";
         PeerHandlers handlers;
-        handlers.onRequest = [this](const InstanceId & /*from*/, const std::string & /*frame*/,
+        handlers.onRequest = [this](const InstanceId & /*from*/, const std::string &frame,
                                     const PeerHandlers::Reply &reply) {
             ++this->requests;
             const std::lock_guard lock(this->mutex);
+            this->lastHeader = decodeRequestHeader(frame.at(1));
             if (this->answer) {
                 reply(*this->answer);
             }
@@ -60,6 +62,12 @@
                             .reportAddress = {}};
         this->network->send(to, 'b' + encodeRecord(beacon));
     }
+    /** Returns the header of the latest request. */
+    RequestHeader header() const
+    {
+        const std::lock_guard lock(this->mutex);
+        return this->lastHeader;
+    }
     bool isConnected(const InstanceId &node) const
     {
         return this->network->connected(node);
@@ -70,8 +78,9 @@
 
 private:
     Executor executor;
-    std::mutex mutex;
+    mutable std::mutex mutex;
     std::optional<std::string> answer;
+    RequestHeader lastHeader;
     std::unique_ptr<PeerNetwork> network;
 };
 
@@ -173,6 +182,18 @@
     BOOST_TEST((outcome == CallerOutcome::Accepted));
 }
 
+// Guards against a leader that takes a submission for new although its node had held it for seconds
+// without a leader: the leader then starts it before those that can still meet their objective.
+BOOST_AUTO_TEST_CASE(TellsANewLeaderHowLongTheRequestHasWaited)
+{
+    std::this_thread::sleep_for(200ms);
+    this->outcomeWithNewLeader(answer(CallerOutcome::Accepted));
+    const RequestHeader header = this->newLeader.header();
+    BOOST_TEST(!header.relayed);
+    BOOST_TEST(header.waited.count() >= 200);
+    BOOST_TEST(header.waited.count() <= 600);
+}
+
 // Guards against an unknown outcome where every attempt was refused: such a caller can be told when
 // to come back.
 BOOST_AUTO_TEST_CASE(ReportsNotRunIfEveryAttemptWasRefused)
--- a/libs/workflow/include/workflow/command.h
+++ b/libs/workflow/include/workflow/command.h
@@ -118,14 +118,18 @@
 using WorkflowCommand = std::variant<PutConfig, AcceptWorkflow, AssignRuns, EndRuns, CancelWorkflow,
                                      SetEvacuation, AnnounceWorker, ForgetWorker>;
 
-/** A command with the node that proposed it and the cell time of the proposal. */
+/** A command with the node that proposed it and the cell time of the request for it. */
 struct ProposedCommand
 {
     /** Random id of the proposing process. */
     std::uint64_t origin = 0;
     /** Sequence number within the origin. */
     std::uint64_t number = 0;
-    /** Never decreases between commands; used only to expire ended workflows. */
+    /**
+     * The time of the proposal, less the time that a submission has waited before it. Commands
+     * don't come in the order of these times. A submission's objective is counted from its own
+     * time, and ended workflows expire by the highest one.
+     */
     CellTime at;
     WorkflowCommand command;
 };
