--- a/libs/cluster/include/cluster/cell_links.h
+++ b/libs/cluster/include/cluster/cell_links.h
@@ -38,13 +38,9 @@
     std::vector<RequestAttempt> attempts;
 };
 
-/**
- * Handles a request that the first node received so long ago; on an error with code NotLeader the
- * sender retries with the leader.
- */
-using RequestHandler
-    = std::function<void(RequestKind, const std::string &, std::chrono::milliseconds waited,
-                         std::function<void(Result<std::string>)>)>;
+/** Handles a request; on an error with code NotLeader the sender retries with the leader. */
+using RequestHandler = std::function<void(RequestKind, const std::string &,
+                                          std::function<void(Result<std::string>)>)>;
 
 /**
  * The links between the nodes of a cell without a static member list. A node is started with the
@@ -84,8 +80,7 @@
     /**
      * Sends a request to the leader, which may be this node, and retries until the deadline, so the
      * request must be idempotent. The error's outcome is NotRun only if no attempt can have had, or
-     * can still have, an effect. Each attempt tells the leader how long the request has waited
-     * here.
+     * can still have, an effect.
      */
     void callLeader(RequestKind kind, std::string request, SteadyTime deadline,
                     std::function<void(const LeaderAnswer &)> done);
--- a/libs/cluster/include/cluster/cluster_node.h
+++ b/libs/cluster/include/cluster/cluster_node.h
@@ -52,7 +52,7 @@
     std::string metrics() const;
 
 private:
-    void serve(RequestKind kind, const std::string &request, std::chrono::milliseconds waited,
+    void serve(RequestKind kind, const std::string &request,
                std::function<void(Result<std::string>)> done);
     /** Forwards the collected heartbeats to the leader in one request. */
     void forwardHeartbeats();
--- a/libs/cluster/include/cluster/leader_service.h
+++ b/libs/cluster/include/cluster/leader_service.h
@@ -17,12 +17,7 @@
     LeaderService(const WorkflowState &initialState, CommandSink &initialLog,
                   Dispatcher &initialDispatcher);
 
-    /**
-     * Serves a request that a node received so long ago. A submission's objective is counted from
-     * then, as its caller counts it.
-     */
-    void serve(const CallerRequest &request, std::chrono::milliseconds waited,
-               std::function<void(Result<CallerReply>)> done);
+    void serve(const CallerRequest &request, std::function<void(Result<CallerReply>)> done);
     void serve(const OperatorRequest &request, std::function<void(Result<OperatorReply>)> done);
     void serve(const WorkerStatusReport &report,
                const std::function<void(Result<WorkerStatusReply>)> &done);
@@ -32,8 +27,7 @@
 
 private:
     void submit(const CallerRequest &request, const QueueRule &queue, const CustomerId &customer,
-                const WorkflowId &id, std::chrono::milliseconds waited,
-                std::function<void(Result<CallerReply>)> done);
+                const WorkflowId &id, std::function<void(Result<CallerReply>)> done);
     CallerReply read(const QueueRule &queue, const WorkflowId &id) const;
     void cancel(const WorkflowId &id, std::function<void(Result<CallerReply>)> done);
     void propose(WorkflowCommand command, std::function<void(Result<OperatorReply>)> done);
--- a/libs/cluster/include/cluster/workflow_log.h
+++ b/libs/cluster/include/cluster/workflow_log.h
@@ -36,8 +36,6 @@
 
     void propose(WorkflowCommand command,
                  std::function<void(Result<CommandOutcome>)> done) override;
-    void proposeWaited(WorkflowCommand command, std::chrono::milliseconds waited,
-                       std::function<void(Result<CommandOutcome>)> done) override;
     bool holdsLease() const override;
 
     void apply(const LogEntry &entry) override;
--- a/libs/cluster/src/cell_requests.cpp
+++ b/libs/cluster/src/cell_requests.cpp
@@ -5,7 +5,6 @@
 #include <algorithm>
 
 #include "cluster_records.h"
-#include "request_header.h"
 
 namespace gooseberry {
 
@@ -13,6 +12,12 @@
 
 constexpr char answerFrame = 'y';
 constexpr char refusalFrame = 'n';
+/**
+ * Second byte of a request: whether the receiver may relay it to the leader. A relayed request is
+ * not relayed again, so that it can't circulate.
+ */
+constexpr char mayRelay = '0';
+constexpr char relayed = '1';
 
 /** How long a relaying node waits for the leader's reply. */
 constexpr std::chrono::milliseconds relayTimeout{1500};
@@ -25,14 +30,6 @@
         .code = code, .step = Step::Forward, .peer = {}, .message = message, .outcome = outcome};
 }
 
-/** Returns the frame of a request that its receiver may relay. */
-std::string requestFrame(RequestKind kind, std::chrono::milliseconds waited,
-                         const std::string &request)
-{
-    const RequestHeader header{.relayed = false, .waited = waited};
-    return std::string{static_cast<char>(kind), encodeRequestHeader(header)} + request;
-}
-
 } // namespace
 
 /** A request to the leader that has no final reply yet. */
@@ -40,7 +37,6 @@
 {
     RequestKind kind = RequestKind::Caller;
     std::string request;
-    SteadyTime receivedAt;
     SteadyTime deadline;
     std::function<void(const LeaderAnswer &)> done;
     /** In the order in which they were made; the number of an attempt is its index plus one. */
@@ -51,17 +47,6 @@
     {
         return this->attempts.empty() ? InstanceId{} : this->attempts.back().target;
     }
-    std::chrono::milliseconds waited(SteadyTime now) const
-    {
-        return std::chrono::duration_cast<std::chrono::milliseconds>(now - this->receivedAt);
-    }
-    /** Returns the time until the deadline, or 1 ms if that is over. */
-    std::chrono::milliseconds timeout(SteadyTime now) const
-    {
-        const auto left
-            = std::chrono::duration_cast<std::chrono::milliseconds>(this->deadline - now);
-        return std::max(left, std::chrono::milliseconds(1));
-    }
 };
 
 void CellLinks::callLeader(RequestKind kind, std::string request, SteadyTime deadline,
@@ -70,7 +55,6 @@
     auto pending = std::make_shared<PendingRequest>();
     pending->kind = kind;
     pending->request = std::move(request);
-    pending->receivedAt = this->clock.steadyNow();
     pending->deadline = deadline;
     pending->done = std::move(done);
     {
@@ -107,12 +91,13 @@
     const auto answer = [this, pending, number](Result<std::string> result) {
         this->onReply(pending, number, std::move(result));
     };
-    const SteadyTime now = this->clock.steadyNow();
     if (leads) {
-        this->serve(pending->kind, pending->request, pending->waited(now), answer);
+        this->serve(pending->kind, pending->request, answer);
     } else if (target) {
-        this->callPeer(*target, requestFrame(pending->kind, pending->waited(now), pending->request),
-                       pending->timeout(now), answer);
+        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+            pending->deadline - this->clock.steadyNow());
+        this->callNode(*target, pending->kind, pending->request,
+                       std::max(left, std::chrono::milliseconds(1)), answer);
     } else {
         answer(linkError(ErrorCode::NotLeader, "no leader is known", Outcome::NotRun));
     }
@@ -198,7 +183,7 @@
                          std::chrono::milliseconds timeout,
                          std::function<void(Result<std::string>)> done)
 {
-    this->callPeer(node, requestFrame(kind, std::chrono::milliseconds(0), request), timeout,
+    this->callPeer(node, std::string{static_cast<char>(kind), mayRelay} + request, timeout,
                    std::move(done));
 }
 
@@ -282,19 +267,17 @@
         }
     };
     const auto kind = static_cast<RequestKind>(frame.front());
-    RequestHeader header = decodeRequestHeader(frame[1]);
     const bool leads = this->replica != nullptr && this->replica->holdsLease();
-    if (kind != RequestKind::Advice && !leads && !header.relayed) {
+    if (kind != RequestKind::Advice && !leads && frame[1] == mayRelay) {
         const std::optional<InstanceId> known = this->leader();
         if (known && *known != this->ownId) {
             std::string passedOn = frame;
-            header.relayed = true;
-            passedOn[1] = encodeRequestHeader(header);
+            passedOn[1] = relayed;
             this->callPeer(*known, passedOn, relayTimeout, answer);
             return;
         }
     }
-    this->serve(kind, frame.substr(2), header.waited, answer);
+    this->serve(kind, frame.substr(2), answer);
 }
 
 } // namespace gooseberry
--- a/libs/cluster/src/cluster_node.cpp
+++ b/libs/cluster/src/cluster_node.cpp
@@ -126,9 +126,9 @@
     , state(this->settings.retention)
     , linkExecutor(1, logTaskFailure)
     , links(initialExecutor, this->linkExecutor, initialClock, this->settings,
-            [this](RequestKind kind, const std::string &request, std::chrono::milliseconds waited,
+            [this](RequestKind kind, const std::string &request,
                    std::function<void(Result<std::string>)> done) {
-                this->serve(kind, request, waited, std::move(done));
+                this->serve(kind, request, std::move(done));
             })
     , router(this->links, initialAdviser)
     , log(this->state, initialClock, randomNumber(),
@@ -284,7 +284,6 @@
 }
 
 void ClusterNode::serve(RequestKind kind, const std::string &request,
-                        std::chrono::milliseconds waited,
                         std::function<void(Result<std::string>)> done)
 {
     const auto withDecoded = [&](const auto &content, const auto &handler) {
@@ -314,7 +313,7 @@
     switch (kind) {
     case RequestKind::Caller:
         withDecoded(decodeRecord<CallerRequest>(request), [&](const CallerRequest &content) {
-            this->leaderService.serve(content, waited, encodeReply<CallerReply>(std::move(done)));
+            this->leaderService.serve(content, encodeReply<CallerReply>(std::move(done)));
         });
         return;
     case RequestKind::Operator:
--- a/libs/cluster/src/leader_service.cpp
+++ b/libs/cluster/src/leader_service.cpp
@@ -49,7 +49,7 @@
 {
 }
 
-void LeaderService::serve(const CallerRequest &request, std::chrono::milliseconds waited,
+void LeaderService::serve(const CallerRequest &request,
                           std::function<void(Result<CallerReply>)> done)
 {
     const auto answer = [&](const CallerReply &reply) {
@@ -89,7 +89,7 @@
         answer(this->read(*queue, id));
         return;
     case CallerAction::Submit:
-        this->submit(request, *queue, customer == nullptr ? CustomerId{} : customer->id, id, waited,
+        this->submit(request, *queue, customer == nullptr ? CustomerId{} : customer->id, id,
                      std::move(done));
         return;
     case CallerAction::Cancel:
@@ -118,7 +118,6 @@
 
 void LeaderService::submit(const CallerRequest &request, const QueueRule &queue,
                            const CustomerId &customer, const WorkflowId &id,
-                           std::chrono::milliseconds waited,
                            std::function<void(Result<CallerReply>)> done)
 {
     CallerReply accepted;
@@ -147,21 +146,20 @@
                            .customer = customer,
                            .attempts = queue.attempts,
                            .spec = request.spec};
-    this->log.proposeWaited(
-        std::move(command), waited,
-        [id, queue = queue.name, customer = customer.value, accepted, waited,
-         done = std::move(done)](const Result<CommandOutcome> &result) {
-            if (!ok(result)) {
-                spdlog::info("event=workflow-not-stored workflow={} {}", id.value,
-                             describe(errorOf(result)));
-                done(errorOf(result));
-                return;
-            }
-            spdlog::info(
-                "event=workflow-accepted workflow={} queue={} customer={} new={} waited={}ms",
-                id.value, queue, customer, valueOf(result).changed, waited.count());
-            done(accepted);
-        });
+    this->log.propose(std::move(command),
+                      [id, queue = queue.name, customer = customer.value, accepted,
+                       done = std::move(done)](const Result<CommandOutcome> &result) {
+                          if (!ok(result)) {
+                              spdlog::info("event=workflow-not-stored workflow={} {}", id.value,
+                                           describe(errorOf(result)));
+                              done(errorOf(result));
+                              return;
+                          }
+                          spdlog::info(
+                              "event=workflow-accepted workflow={} queue={} customer={} new={}",
+                              id.value, queue, customer, valueOf(result).changed);
+                          done(accepted);
+                      });
 }
 
 void LeaderService::cancel(const WorkflowId &id, std::function<void(Result<CallerReply>)> done)
--- a/libs/cluster/src/workflow_log.cpp
+++ b/libs/cluster/src/workflow_log.cpp
@@ -19,12 +19,6 @@
 }
 
 void WorkflowLog::propose(WorkflowCommand command, Callback done)
-{
-    this->proposeWaited(std::move(command), std::chrono::milliseconds(0), std::move(done));
-}
-
-void WorkflowLog::proposeWaited(WorkflowCommand command, std::chrono::milliseconds waited,
-                                Callback done)
 {
     if (this->replica == nullptr) {
         done(Error{.code = ErrorCode::NotLeader,
@@ -37,7 +31,7 @@
     const std::uint64_t number = ++this->lastNumber;
     const ProposedCommand proposed{.origin = this->origin,
                                    .number = number,
-                                   .at = this->cellNow() - waited,
+                                   .at = this->cellNow(),
                                    .command = std::move(command)};
     {
         Shard &shard = this->shardOf(number);
--- a/libs/cluster/test/leader_request_test.cpp
+++ b/libs/cluster/test/leader_request_test.cpp
@@ -8,7 +8,6 @@
 #include <link/link.h>
 
 #include "cluster_records.h"
-#include "request_header.h"
 #include "test_node.h"
 
 using namespace gooseberry;
@@ -28,11 +27,10 @@
         settings.self = peerId(settings.listen);
         settings.cellName = "cell";
         PeerHandlers handlers;
-        handlers.onRequest = [this](const InstanceId & /*from*/, const std::string &frame,
+        handlers.onRequest = [this](const InstanceId & /*from*/, const std::string & /*frame*/,
                                     const PeerHandlers::Reply &reply) {
             ++this->requests;
             const std::lock_guard lock(this->mutex);
-            this->lastHeader = decodeRequestHeader(frame.at(1));
             if (this->answer) {
                 reply(*this->answer);
             }
@@ -62,12 +60,6 @@
                             .reportAddress = {}};
         this->network->send(to, 'b' + encodeRecord(beacon));
     }
-    /** Returns the header of the latest request. */
-    RequestHeader header() const
-    {
-        const std::lock_guard lock(this->mutex);
-        return this->lastHeader;
-    }
     bool isConnected(const InstanceId &node) const
     {
         return this->network->connected(node);
@@ -78,9 +70,8 @@
 
 private:
     Executor executor;
-    mutable std::mutex mutex;
+    std::mutex mutex;
     std::optional<std::string> answer;
-    RequestHeader lastHeader;
     std::unique_ptr<PeerNetwork> network;
 };
 
@@ -182,18 +173,6 @@
     BOOST_TEST((outcome == CallerOutcome::Accepted));
 }
 
-// Guards against a leader that takes a submission for new although its node had held it for seconds
-// without a leader: the leader then starts it before those that can still meet their objective.
-BOOST_AUTO_TEST_CASE(TellsANewLeaderHowLongTheRequestHasWaited)
-{
-    std::this_thread::sleep_for(200ms);
-    this->outcomeWithNewLeader(answer(CallerOutcome::Accepted));
-    const RequestHeader header = this->newLeader.header();
-    BOOST_TEST(!header.relayed);
-    BOOST_TEST(header.waited.count() >= 200);
-    BOOST_TEST(header.waited.count() <= 600);
-}
-
 // Guards against an unknown outcome where every attempt was refused: such a caller can be told when
 // to come back.
 BOOST_AUTO_TEST_CASE(ReportsNotRunIfEveryAttemptWasRefused)
--- a/libs/dispatch/include/dispatch/command_sink.h
+++ b/libs/dispatch/include/dispatch/command_sink.h
@@ -18,13 +18,6 @@
      */
     virtual void propose(WorkflowCommand command, std::function<void(Result<CommandOutcome>)> done)
         = 0;
-    /**
-     * Proposes the command of a request that a node received so long ago: its time is that of the
-     * request.
-     */
-    virtual void proposeWaited(WorkflowCommand command, std::chrono::milliseconds waited,
-                               std::function<void(Result<CommandOutcome>)> done)
-        = 0;
     /** Returns whether this instance holds the leader lease now. */
     virtual bool holdsLease() const = 0;
 };
--- a/libs/dispatch/src/upstream_scheduler.cpp
+++ b/libs/dispatch/src/upstream_scheduler.cpp
@@ -125,8 +125,8 @@
     live.spec = workflow.spec;
     live.criticalPath = criticalPathLength(*workflow.spec);
     this->findRules(live);
-    // A workflow that another node has held, or that a new leader recovers, has already waited;
-    // backdate its acceptance on this clock.
+    // A workflow recovered by a new leader has already waited; backdate its acceptance on this
+    // clock.
     const Duration waited = this->context.state.time() - workflow.acceptedAt;
     live.acceptedAt = this->context.clock.steadyNow() - std::max(waited, Duration::zero());
     return live;
--- a/libs/dispatch/test/backlog_test.cpp
+++ b/libs/dispatch/test/backlog_test.cpp
@@ -160,26 +160,6 @@
     BOOST_TEST(cell.workers.runningTasks() == 401U);
 }
 
-// Guards against submissions that other nodes held during an outage and that count as new when the
-// leader is back: they took the first second of its starts although none could be in time any more,
-// and new work became late behind them.
-BOOST_AUTO_TEST_CASE(StartsNewWorkBeforeWorkThatWaitedTooLongElsewhere)
-{
-    DispatchFixture cell(1);
-    cell.changeConfig(
-        [](RoutingConfig &config) { config.queues.front().completionTarget = 500ms; });
-    const WorkflowId held
-        = cell.submitWaited("a-held", {DispatchFixture::step(1, fillingCpu)}, 2000ms);
-    const WorkflowId urgent = cell.submit("b-new", {DispatchFixture::step(1, fillingCpu)});
-    cell.timers.advance(30ms);
-    const FakeWorker &worker = cell.workers.workers.at(DispatchFixture::workerId(0));
-    BOOST_TEST(worker.running.contains(DispatchFixture::task(urgent, 0)));
-    BOOST_TEST(!worker.running.contains(DispatchFixture::task(held, 0)));
-    cell.workers.end(DispatchFixture::workerId(0), DispatchFixture::task(urgent, 0), EndKind::Done);
-    cell.run(300ms);
-    BOOST_TEST(worker.running.contains(DispatchFixture::task(held, 0)));
-}
-
 // Guards against a backlog that keeps the leader busy by itself: tickets of late steps were
 // requested and, unused, requested again at a multiple of the rate of their starts, until
 // submissions ended.
--- a/libs/dispatch/test/dispatch_fixture.cpp
+++ b/libs/dispatch/test/dispatch_fixture.cpp
@@ -73,12 +73,6 @@
     }
 }
 
-void FakeCommandLog::proposeWaited(WorkflowCommand command, std::chrono::milliseconds /*waited*/,
-                                   std::function<void(Result<CommandOutcome>)> done)
-{
-    this->propose(std::move(command), std::move(done));
-}
-
 bool FakeCommandLog::holdsLease() const
 {
     return this->leads;
@@ -322,12 +316,12 @@
     this->run(std::chrono::milliseconds(200));
 }
 
-void DispatchFixture::apply(WorkflowCommand command, std::chrono::milliseconds waited)
+void DispatchFixture::apply(WorkflowCommand command)
 {
     const CellTime now(std::chrono::duration_cast<std::chrono::milliseconds>(
         this->clock.steadyNow().time_since_epoch()));
-    this->state.apply(ProposedCommand{
-        .origin = 1, .number = 1, .at = now - waited, .command = std::move(command)});
+    this->state.apply(
+        ProposedCommand{.origin = 1, .number = 1, .at = now, .command = std::move(command)});
 }
 
 void DispatchFixture::changeConfig(const std::function<void(RoutingConfig &)> &change)
@@ -340,39 +334,18 @@
 
 WorkflowId DispatchFixture::submit(const std::string &id, std::vector<StepSpec> steps,
                                    const std::string &customer, const std::string &queue)
-{
-    return this->accept(AcceptWorkflow{.id = WorkflowId(id),
-                                       .queue = queue,
-                                       .upstream = "upstream",
-                                       .customer = CustomerId(customer),
-                                       .attempts = 3,
-                                       .spec = {}},
-                        std::move(steps), std::chrono::milliseconds(0));
-}
-
-WorkflowId DispatchFixture::submitWaited(const std::string &id, std::vector<StepSpec> steps,
-                                         std::chrono::milliseconds waited)
-{
-    return this->accept(AcceptWorkflow{.id = WorkflowId(id),
-                                       .queue = "queue",
-                                       .upstream = "upstream",
-                                       .customer = CustomerId("customer"),
-                                       .attempts = 3,
-                                       .spec = {}},
-                        std::move(steps), waited);
-}
-
-WorkflowId DispatchFixture::accept(AcceptWorkflow command, std::vector<StepSpec> steps,
-                                   std::chrono::milliseconds waited)
 {
     WorkflowSpec spec;
     spec.payload = "payload";
     spec.steps = std::move(steps);
-    command.spec = encodeRecord(spec);
-    WorkflowId id = command.id;
-    this->apply(std::move(command), waited);
-    this->dispatcher.workflowAccepted(id);
-    return id;
+    this->apply(AcceptWorkflow{.id = WorkflowId(id),
+                               .queue = queue,
+                               .upstream = "upstream",
+                               .customer = CustomerId(customer),
+                               .attempts = 3,
+                               .spec = encodeRecord(spec)});
+    this->dispatcher.workflowAccepted(WorkflowId(id));
+    return WorkflowId(id);
 }
 
 void DispatchFixture::cancel(const WorkflowId &id)
--- a/libs/dispatch/test/dispatch_fixture.h
+++ b/libs/dispatch/test/dispatch_fixture.h
@@ -42,9 +42,6 @@
 
     void propose(WorkflowCommand command,
                  std::function<void(Result<CommandOutcome>)> done) override;
-    /** Leaves the waiting time out; workflows that have waited come from DispatchFixture. */
-    void proposeWaited(WorkflowCommand command, std::chrono::milliseconds waited,
-                       std::function<void(Result<CommandOutcome>)> done) override;
     bool holdsLease() const override;
     void commitPending();
 
@@ -192,9 +189,6 @@
     void changeConfig(const std::function<void(RoutingConfig &)> &change);
     WorkflowId submit(const std::string &id, std::vector<StepSpec> steps,
                       const std::string &customer = "customer", const std::string &queue = "queue");
-    /** Submits a workflow that another node has held so long. */
-    WorkflowId submitWaited(const std::string &id, std::vector<StepSpec> steps,
-                            std::chrono::milliseconds waited);
     void cancel(const WorkflowId &id);
     void announce(const InstanceId &id, const std::function<void(WorkerRecord &)> &change);
     /** Applies the worker's notice that it leaves; the worker itself goes on. */
@@ -225,9 +219,7 @@
     std::set<InstanceId> withoutHeartbeats;
 
 private:
-    void apply(WorkflowCommand command, std::chrono::milliseconds waited = {});
-    WorkflowId accept(AcceptWorkflow command, std::vector<StepSpec> steps,
-                      std::chrono::milliseconds waited);
+    void apply(WorkflowCommand command);
 };
 
 } // namespace gooseberry
--- a/libs/workflow/include/workflow/command.h
+++ b/libs/workflow/include/workflow/command.h
@@ -118,18 +118,14 @@
 using WorkflowCommand = std::variant<PutConfig, AcceptWorkflow, AssignRuns, EndRuns, CancelWorkflow,
                                      SetEvacuation, AnnounceWorker, ForgetWorker>;
 
-/** A command with the node that proposed it and the cell time of the request for it. */
+/** A command with the node that proposed it and the cell time of the proposal. */
 struct ProposedCommand
 {
     /** Random id of the proposing process. */
     std::uint64_t origin = 0;
     /** Sequence number within the origin. */
     std::uint64_t number = 0;
-    /**
-     * The time of the proposal, less the time that a submission has waited before it. Commands
-     * don't come in the order of these times. A submission's objective is counted from its own
-     * time, and ended workflows expire by the highest one.
-     */
+    /** Never decreases between commands; used only to expire ended workflows. */
     CellTime at;
     WorkflowCommand command;
 };
--- a/libs/workflow/include/workflow/workflow_state.h
+++ b/libs/workflow/include/workflow/workflow_state.h
@@ -62,7 +62,6 @@
     std::string upstream;
     CustomerId customer;
     std::uint32_t attempts = 1;
-    /** When a node received the submission, which may be before the leader did. */
     CellTime acceptedAt;
     WorkflowPhase phase = WorkflowPhase::Queued;
     CellTime endedAt;
@@ -139,7 +138,7 @@
     static constexpr std::size_t shardCount = 8;
 
     CommandOutcome execute(const PutConfig &command);
-    CommandOutcome execute(const AcceptWorkflow &command, CellTime receivedAt);
+    CommandOutcome execute(const AcceptWorkflow &command);
     CommandOutcome execute(const AssignRuns &command);
     CommandOutcome execute(const EndRuns &command);
     CommandOutcome execute(const CancelWorkflow &command);
--- a/libs/workflow/src/workflow_state.cpp
+++ b/libs/workflow/src/workflow_state.cpp
@@ -75,15 +75,8 @@
         const std::lock_guard lock(this->cellMutex);
         this->now = std::max(this->now, proposed.at);
     }
-    return std::visit(
-        [this, at = proposed.at](const auto &command) {
-            if constexpr (std::is_same_v<std::remove_cvref_t<decltype(command)>, AcceptWorkflow>) {
-                return this->execute(command, at);
-            } else {
-                return this->execute(command);
-            }
-        },
-        proposed.command);
+    return std::visit([this](const auto &command) { return this->execute(command); },
+                      proposed.command);
 }
 
 CommandOutcome WorkflowState::execute(const PutConfig &command)
@@ -111,7 +104,7 @@
     return used;
 }
 
-CommandOutcome WorkflowState::execute(const AcceptWorkflow &command, CellTime receivedAt)
+CommandOutcome WorkflowState::execute(const AcceptWorkflow &command)
 {
     CommandOutcome outcome;
     Result<WorkflowSpec> spec = decodeRecord<WorkflowSpec>(command.spec);
@@ -119,6 +112,7 @@
         return outcome;
     }
     Shard &shard = this->shardOf(command.id);
+    const CellTime at = this->time();
     const std::lock_guard lock(shard.mutex);
     this->removeExpired(shard);
     const auto [found, added] = shard.workflows.try_emplace(command.id.value);
@@ -131,7 +125,7 @@
                              .upstream = command.upstream,
                              .customer = command.customer,
                              .attempts = command.attempts,
-                             .acceptedAt = receivedAt,
+                             .acceptedAt = at,
                              .phase = WorkflowPhase::Queued,
                              .endedAt = {},
                              .spec = std::make_shared<const WorkflowSpec>(std::move(valueOf(spec))),
