--- a/review/lib-2/cell.py
+++ b/review/lib-2/cell.py
@@ -558,12 +558,12 @@
             shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def run_case(folder, play):
+def run_case(folder, play, workers_per_zone=2):
     """Runs play(cell, trouble), which returns the breaks of the rule, and returns the exit code."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
     cell = None
     try:
-        cell = Cell(os.path.join(folder, "record.txt"))
+        cell = Cell(os.path.join(folder, "record.txt"), workers_per_zone)
         breaks = play(cell, trouble)
         for text in breaks:
             cell.record.write("BREAK " + text)
