--- a/review/lib-2/cell.py
+++ b/review/lib-2/cell.py
@@ -215,7 +215,8 @@
         self.stop_seconds = 0.1
         self.first_heartbeat_delay = 0.0
         self.state = "ready"
-        self.late_starts = []
+        self.late_delay = None
+        self.late_start = None
         self.on_stop = None
         self.lives = 0
         self.alive = False
@@ -305,15 +306,17 @@
         expected = headers.get("X-Gooseberrylead-Target-Instance")
         if expected is not None and expected != self.id:
             return 421, {"clock_ms": self.clock()}
-        if path == "/run-start":
-            for index, (task, delay) in enumerate(self.late_starts):
-                if task == body["task"] and body["run"] == 1:
-                    del self.late_starts[index]
-                    return self._start_late(body, delay)
+        if path == "/run-start" and self.late_delay is not None:
+            delay, self.late_delay = self.late_delay, None
+            return self._start_late(body, delay)
         return self.carry_out(path, body)
 
+    def leave_next_start_unanswered(self, delay):
+        self.late_delay = delay
+
     def _start_late(self, body, delay):
         """The order gets no answer, and is carried out later by whatever life is there then."""
+        self.late_start = body["task"]
         self.cell.record.write(f"{self.id}: start of {body['task']} run {body['run']} with fence "
                                f"{body['fencing_token']} is left unanswered")
 
