--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""A new leader starts work of a tenant while cancelled work of that tenant still runs."""
+"""A withdrawal of an evacuation that a frozen keeper had not read takes effect after a later one."""
 
 import os
 import signal
@@ -8,69 +8,58 @@
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "lib-2"))
-from cell import BOUNDS, CannotRun, run_case  # noqa: E402
+from cell import BOUNDS, ZONES, CannotRun, run_case  # noqa: E402
 
-LIMIT_CPU = 40000
-TASK_CPU = 1000
-TASKS = LIMIT_CPU // TASK_CPU
-# A stop takes at most stop_timeout_ms, which is 900.
-STOP_SECONDS = 0.85
+FREEZE_SECONDS = 4.0
+ZONE = ZONES[2]
 
 
 def play(cell, trouble):
     cell.start([{"name": "tenant-1", "api_keys": ["key-1"], "priority": 1, "weight": 26,
-                 "max_count": {"cpu": LIMIT_CPU, "mem_mb": 0, "gpu": 0}}])
-    for worker in cell.workers:
-        worker.stop_seconds = STOP_SECONDS
-    first, status = cell.submit([{"count": TASKS, "cpu": TASK_CPU, "mem_mb": 500,
-                                  "estimate_ms": 60000, "max_per_server": 1}])
-    if status != 200:
-        raise CannotRun("the first submission was not accepted")
+                 "max_count": {"cpu": 0, "mem_mb": 0, "gpu": 0}}])
+    over = threading.Event()
+
+    def submit_steadily():
+        while not over.wait(0.25):
+            cell.submit([{"count": 6, "cpu": 1000, "mem_mb": 500, "estimate_ms": 400,
+                          "max_per_server": 1}])
+    for _ in range(2):
+        threading.Thread(target=submit_steadily, daemon=True).start()
+    time.sleep(2.0)
+    if cell.order(f"/evacuations/{ZONE}/start") is None:
+        raise CannotRun("the first evacuation was not acknowledged")
     time.sleep(2.0)
-    second, status = cell.submit([{"count": TASKS, "cpu": TASK_CPU, "mem_mb": 500,
-                                   "estimate_ms": 3000}])
-    if status != 200:
-        raise CannotRun("the second submission was not accepted")
-    time.sleep(1.0)
-    if len(cell.runs) != TASKS:
-        raise CannotRun("the first submission doesn't fill the tenant's limit")
-    leader = cell.leader()
+    frozen = cell.keepers[3]
+    thaw_at = time.monotonic() + FREEZE_SECONDS
     if trouble:
-        killed = threading.Event()
-
-        def kill_leader():
-            if not killed.is_set():
-                killed.set()
-                threading.Thread(target=leader.kill, daemon=True).start()
-        for worker in cell.workers:
-            worker.on_stop = kill_leader
-    entry = cell.entries[0]
-    for _ in range(5):
-        status, _ = cell.ask("DELETE", first, entry=entry)
-        if status in (200, 410):
-            break
-        time.sleep(0.1)
-    if status != 200:
-        raise CannotRun("the cancellation was not acknowledged")
-    time.sleep(12.0)
+        frozen.signal(signal.SIGSTOP)
+    if cell.order(f"/evacuations/{ZONE}/finish", first=frozen) is None:
+        raise CannotRun("the withdrawal was not acknowledged")
+    time.sleep(0.3)
+    evacuated_at = cell.order(f"/evacuations/{ZONE}/start", first=cell.keepers[1])
+    if evacuated_at is None:
+        raise CannotRun("the second evacuation was not acknowledged")
+    time.sleep(max(0.0, thaw_at - time.monotonic()))
+    if trouble:
+        frozen.signal(signal.SIGCONT)
+    # Only starts count that are later than evacuation_ms after the acknowledgement, by a machine
+    # that is in touch: contact_ms after the keeper has been woken.
+    counts_from = max(evacuated_at + BOUNDS["evacuation_ms"] / 1000,
+                      cell.record.now() + BOUNDS["contact_ms"] / 1000) + 0.5
+    cell.record.write(f"judged: starts in {ZONE} from {counts_from:.3f} on")
+    time.sleep(counts_from - cell.record.now() + 5.0)
+    over.set()
     with cell.runs_lock:
-        runs = sorted(cell.runs, key=lambda run: run["began"])
-    if not any(run["task"].startswith(second) for run in runs):
-        raise CannotRun("the second submission did not start")
-    # max_count x (1 + quota_overshoot) and one task more.
-    most = LIMIT_CPU * (1 + BOUNDS["quota_overshoot"]) + TASK_CPU
-    breaks = []
-    for run in runs:
-        at_work = [other for other in runs if other["began"] <= run["began"]
-                   and (other["ended"] is None or other["ended"] > run["began"])]
-        cpu = TASK_CPU * len(at_work)
-        if cpu > most:
-            old = sum(other["task"].startswith(first) for other in at_work)
-            breaks.append(f"QUOTA {run['task']} starts at {run['began']:.3f}: the tenant has {cpu} "
-                          f"running, {old * TASK_CPU} of it of the cancelled submission; at most "
-                          f"{most:.0f} is allowed")
-    return breaks
+        late = [run for run in cell.runs
+                if run["worker"].zone == ZONE and run["began"] > counts_from]
+        others = [run for run in cell.runs
+                  if run["worker"].zone != ZONE and run["began"] > counts_from]
+    if not others:
+        raise CannotRun("no task was started in the other zones")
+    return [f"EVAC {run['task']} run {run['run']} starts on {run['worker'].id} in {ZONE} at "
+            f"{run['began']:.3f}, the evacuation was acknowledged at {evacuated_at:.3f}"
+            for run in late]
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(HERE, play, workers_per_zone=16))
+    sys.exit(run_case(HERE, play))
--- a/review/lib-2/cell.py
+++ b/review/lib-2/cell.py
@@ -303,6 +303,7 @@
             self.lease_end = max(self.lease_end, min(deadline, most))
 
     def serve(self, path, body, headers):
+        """The path to the worker's process, which may hold one start order back."""
         expected = headers.get("X-Gooseberrylead-Target-Instance")
         if expected is not None and expected != self.id:
             return 421, {"clock_ms": self.clock()}
@@ -311,19 +312,19 @@
             return self._start_late(body, delay)
         return self.carry_out(path, body)
 
-    def leave_next_start_unanswered(self, delay):
+    def hold_next_start_back(self, delay):
         self.late_delay = delay
 
     def _start_late(self, body, delay):
-        """The order gets no answer, and is carried out later by whatever life is there then."""
+        """The path holds the order back, which reaches whatever process is there later."""
         self.late_start = body["task"]
         self.cell.record.write(f"{self.id}: start of {body['task']} run {body['run']} with fence "
-                               f"{body['fencing_token']} is left unanswered")
+                               f"{body['fencing_token']} is held back on its way")
 
         def later():
             status, reply = self.carry_out("/run-start", body, " (late)")
-            self.cell.record.write(f"{self.id}: start of {body['task']} run {body['run']} is "
-                                   f"carried out late in life {self.lives}: {status} {reply}")
+            self.cell.record.write(f"{self.id}: start of {body['task']} run {body['run']} reaches "
+                                   f"the worker late, in life {self.lives}: {status} {reply}")
         timer = threading.Timer(delay, later)
         timer.daemon = True
         timer.start()
@@ -331,6 +332,7 @@
         return None, None
 
     def carry_out(self, path, body, mark=""):
+        """The worker's process."""
         with self.lock:
             if not self.alive:
                 return None, None
