Let no task run elsewhere while a delayed start may still begin it

A start got no answer, the worker answered the stop and listed nothing, the task ran elsewhere; the worker then restarted under its id and carried out the start. Cause: an answered stop and a report without the run bind one incarnation of the worker, and were taken to bind the next one as well.

isOver(RunEvidence) is now the one rule for giving a run up. An unanswered start counts until its ticket has expired, it is 15 s old, or a later incarnation has answered a renewal with a higher token. The same start is sent to the same worker again, since a worker starts a run once at most, so that tasks don't wait for that. Also: the report that reveals a restart proves nothing, as its renewal had the old token; a failed or interrupted run waits for an earlier unanswered copy of its start; a worker that returns after it has left gets a higher token; a known restart is answered with a renewal at once.

ANewIncarnationRefusesTheDelayedStartOfA- ReleasedRun gets a queue with an adviser, since a run without a ticket is not released before the restart any more; its checks are the same.

--- a/libs/dispatch/include/dispatch/live_workflow.h
+++ b/libs/dispatch/include/dispatch/live_workflow.h
@@ -19,7 +19,7 @@
     Ordered, ///< The start was sent and is not answered yet.
     Running,
     OutcomeUnknown, ///< The start got no answer and may still be carried out.
-    Recovered, ///< Read from the replicated state; not yet reported to this leader.
+    Recovered, ///< May execute in the worker's present incarnation; its next report tells.
     Ending, ///< The run has ended and its result is being stored.
 };
 
@@ -44,6 +44,17 @@
     std::string checkpoint;
     double percent = 0.0;
     std::string ticket;
+    /** When the ticket has expired on every clock; not set without a ticket. */
+    std::optional<SteadyTime> ticketExpiresBy;
+    /** When the ticket is no longer used for a start. */
+    SteadyTime ticketUsableUntil;
+    std::uint32_t startsSent = 0;
+    /** Starts among them without an answer. */
+    std::uint32_t unansweredStarts = 0;
+    /** Until then, one of these may be carried out, also by a later incarnation of the worker. */
+    SteadyTime startMayArriveUntil;
+    /** The worker's present incarnation neither executes the run nor will start it. */
+    bool absent = false;
 };
 
 /** A task of a workflow that is not finished. */
@@ -64,6 +75,8 @@
     std::uint32_t slot = 0;
     std::string ticket;
     SteadyTime validUntil;
+    /** When the ticket has expired, given the largest clock lag. */
+    SteadyTime expiresBy;
 };
 
 struct LiveStep
--- a/libs/dispatch/include/dispatch/upstream_scheduler.h
+++ b/libs/dispatch/include/dispatch/upstream_scheduler.h
@@ -15,6 +15,7 @@
 #include <dispatch/dispatch_observer.h>
 #include <dispatch/dispatch_settings.h>
 #include <dispatch/live_workflow.h>
+#include <dispatch/run_evidence.h>
 #include <dispatch/task_placement.h>
 #include <dispatch/upstream_worker.h>
 #include <dispatch/worker_orders.h>
@@ -91,6 +92,13 @@
     UpstreamStats stats() const;
 
 private:
+    /** What must be known of a removed worker if it returns under its id. */
+    struct RemovedWorker
+    {
+        std::uint32_t restarts = 0;
+        SteadyTime removedAt;
+    };
+
     using Effects = std::vector<std::function<void()>>;
     using Operation = std::function<void(Effects &)>;
 
@@ -138,8 +146,14 @@
      * an earlier one.
      */
     void expectEarlierOrders(UpstreamWorker &worker) const;
+    /** Returns the time until which a start that an earlier leader sent may be carried out. */
+    SteadyTime recoveredStartArrival(const LiveWorkflow &workflow) const;
     /** Resets the worker for a new incarnation and releases runs that ended with the old one. */
     void beginIncarnation(UpstreamWorker &worker, const WorkerRecord &record, Effects &effects);
+    /** Releases all runs of workers whose address a later worker has taken over. */
+    void releaseRunsOfReplacedWorkers(const WorkerRecord &successor, Effects &effects);
+    /** Notes that the worker refuses the starts that its earlier incarnations got. */
+    void confirmFence(UpstreamWorker &worker);
     /** Updates the run from the worker's report. Returns false if the scheduler has no such run. */
     bool recordReportedRun(UpstreamWorker &worker, const RunningEntry &entry);
     /**
@@ -152,6 +166,18 @@
     void recordRoomGained(UpstreamWorker &worker);
     void processEndedRuns(UpstreamWorker &worker, const std::vector<EndedEntry> &ends,
                           Effects &effects);
+    // upstream_scheduler_release.cpp: proof that runs are over.
+    /** Returns what is known of the run, for isOver(). */
+    RunEvidence evidenceOf(const LiveRun &run) const;
+    /**
+     * Takes note that the worker's present incarnation neither executes the run nor will start it,
+     * and releases the run once no later incarnation can start it either.
+     */
+    void releaseAbsentRun(const TaskKey &key, const char *reason, Effects &effects);
+    /** Releases the run and stops the other members of its gang if the run is over. */
+    bool releaseIfOver(const TaskKey &key, const char *reason, Effects &effects);
+    /** Releases absent runs whose delayed starts can't be carried out any more. */
+    void releaseHeldRuns(Effects &effects);
     /** Releases runs that are absent from the report and can no longer start. */
     void releaseUnreportedRuns(UpstreamWorker &worker, const LeaseRenewalReply &reply,
                                SteadyTime sentAt, Effects &effects);
@@ -159,6 +185,7 @@
     void releaseRunsOfExpiredLeases(UpstreamWorker &worker, Effects &effects);
     /** Releases runs whose lease has expired, removes lost workers and repeats stops. */
     void handleExpiredLeases(Effects &effects);
+    void removeWorker(const InstanceId &id, Effects &effects);
     void storeEnds(const InstanceId &id, WorkerIncarnation incarnation,
                    std::vector<std::uint64_t> numbers, EndRuns command, Effects &effects);
     void onEndsStored(const InstanceId &id, WorkerIncarnation incarnation,
@@ -181,6 +208,13 @@
     void onAssignmentsStored(const std::vector<RunAssignment> &runs,
                              const Result<CommandOutcome> &result, Effects &effects);
     void sendStart(const TaskKey &key, LiveTask &task, Effects &effects);
+    /** Returns whether a start that got no answer is sent to the same worker again. */
+    bool mayRepeatStart(const LiveRun &run, const UpstreamWorker &worker,
+                        const StepSpec &spec) const;
+    void onStartUnanswered(const TaskKey &key, LiveTask &task, UpstreamWorker &worker,
+                           const Error &error, Effects &effects);
+    void onStartRefused(const TaskKey &key, const Result<StartReply> &result,
+                        UpstreamWorker &worker, Effects &effects);
     void onStartReply(const TaskKey &key, RunNumber run, const InstanceId &id,
                       const Result<StartReply> &result, Effects &effects);
     /**
@@ -272,6 +306,7 @@
     const Term term;
     const DispatchSettings settings;
     const SchedulerContext context;
+    const SteadyTime termBegan;
 
     mutable std::mutex mutex; ///< Guards the members below.
     bool closed = false;
@@ -312,6 +347,13 @@
     /** Workers with a failed order, and when the last one failed; older entries are removed. */
     std::map<InstanceId, SteadyTime> recentOrderFailures;
     std::map<InstanceId, UpstreamWorker> workers;
+    /** Absent runs that a delayed start may still begin in a later incarnation of the worker. */
+    std::set<TaskKey> heldRuns;
+    /**
+     * Restarts of workers that were removed a short time ago, since orders to them may be delayed
+     * and reach the next incarnation.
+     */
+    std::map<InstanceId, RemovedWorker> removedWorkers;
     std::map<WorkflowId, LiveWorkflow> workflows;
     /**
      * Workflows that may have become removable. They are removed at the end of an operation, since
--- a/libs/dispatch/include/dispatch/upstream_worker.h
+++ b/libs/dispatch/include/dispatch/upstream_worker.h
@@ -72,14 +72,8 @@
      */
     SteadyTime earlierLeasesExpireBy;
     /**
-     * Until then, this incarnation may still carry out orders that were sent to an earlier one. The
-     * lease end in such an order does not prevent that: it is a time on the worker's clock, which
-     * restarts with the worker.
-     */
-    SteadyTime delayedOrdersUntil;
-    /**
-     * The worker has answered a lease renewal of this term, so it refuses orders of earlier
-     * leaders.
+     * This incarnation has answered a lease renewal with a higher fencing token than all orders to
+     * earlier incarnations and all orders of earlier leaders, so it refuses these.
      */
     bool fenceConfirmed = false;
     /** Restarts of the worker that this leader has learned of; part of its fencing token. */
--- a/libs/dispatch/src/upstream_scheduler.cpp
+++ b/libs/dispatch/src/upstream_scheduler.cpp
@@ -29,6 +29,7 @@
     , term(initialTerm)
     , settings(initialSettings)
     , context(std::move(initialContext))
+    , termBegan(this->context.clock.steadyNow())
 {
     this->loadConfiguration();
 }
@@ -232,7 +233,11 @@
     ++workflow.activeRuns;
     const StepSpec &spec = workflow.spec->steps[key.step];
     this->context.ledger->reserve(workflow.customer, spec.size);
-    this->reserve(this->recoveredWorker(stored), key, spec, stored.run);
+    UpstreamWorker &worker = this->recoveredWorker(stored);
+    if (worker.record.incarnation != stored.incarnation) {
+        step.tasks[key.index].run->startMayArriveUntil = this->recoveredStartArrival(workflow);
+    }
+    this->reserve(worker, key, spec, stored.run);
 }
 
 void UpstreamScheduler::stopWorkflow(const WorkflowId &id)
--- a/libs/dispatch/src/upstream_scheduler_placement.cpp
+++ b/libs/dispatch/src/upstream_scheduler_placement.cpp
@@ -417,6 +417,8 @@
                        [&](const AllowedWorker &entry) { return entry.slot == worker.slot; });
     if (allowed != step.allowed.end()) {
         live.ticket = allowed->ticket;
+        live.ticketExpiresBy = allowed->expiresBy;
+        live.ticketUsableUntil = allowed->validUntil - this->settings.ticketMargin;
     }
     task.lastRun = run;
     pass.assignments.push_back(RunAssignment{.task = key,
@@ -617,9 +619,11 @@
     for (const AdviceTicket &ticket : reply.tickets) {
         const auto worker = this->workers.find(ticket.worker);
         if (worker != this->workers.end()) {
-            step->allowed.push_back(AllowedWorker{.slot = worker->second.slot,
-                                                  .ticket = ticket.ticket,
-                                                  .validUntil = now + reply.validity});
+            step->allowed.push_back(
+                AllowedWorker{.slot = worker->second.slot,
+                              .ticket = ticket.ticket,
+                              .validUntil = now + reply.validity,
+                              .expiresBy = latestExpiryOf(reply.validity, now)});
         }
     }
     this->schedulePlacement(effects);
--- a/libs/dispatch/src/upstream_scheduler_runs.cpp
+++ b/libs/dispatch/src/upstream_scheduler_runs.cpp
@@ -30,6 +30,10 @@
  * a change of the configuration helps, so frequent attempts are of no use.
  */
 constexpr std::chrono::milliseconds missingAdviserDelay{1000};
+/** How often a start is sent while it gets no answer, at intervals of the order timeout. */
+constexpr std::uint32_t maxStarts = 10;
+/** The same for a member of a gang, as the others wait for it for a few seconds only. */
+constexpr std::uint32_t maxGangStarts = 3;
 /** Delay before a stop that got no answer is sent again. */
 constexpr std::chrono::milliseconds stopRetryDelay{300};
 
@@ -113,16 +117,24 @@
         this->releaseRun(key, effects);
         return;
     }
-    task.run->phase = RunPhase::Ordered;
-    task.run->since = now;
+    LiveRun &run = *task.run;
+    // A repeated start must not delay the end of a lease that an unresponsive worker may hold.
+    const WorkerTime leaseEnd = run.startsSent > 0
+        ? worker.leaseGranted
+        : earliestWorkerTime(*worker.clock, now) + this->settings.workerLease;
+    run.phase = RunPhase::Ordered;
+    run.since = now;
+    ++run.startsSent;
+    ++run.unansweredStarts;
+    run.startMayArriveUntil
+        = std::max(run.startMayArriveUntil, latestStartArrival(now, run.ticketExpiresBy));
     StartOrder order{.task = key,
-                     .run = task.run->number,
+                     .run = run.number,
                      .spec = workflow.spec,
-                     .leaseEnd
-                     = earliestWorkerTime(*worker.clock, now) + this->settings.workerLease,
+                     .leaseEnd = leaseEnd,
                      .fence = fencingToken(this->term, worker.restarts),
                      .checkpoint = task.checkpoint,
-                     .ticket = task.run->ticket};
+                     .ticket = run.ticket};
     worker.leaseGranted = std::max(worker.leaseGranted, order.leaseEnd);
     worker.leaseExpiresBy
         = std::max(worker.leaseExpiresBy, latestLeaseExpiry(*worker.clock, worker.leaseGranted));
@@ -163,57 +175,100 @@
     }
     const auto worker = this->workers.find(id);
     if (task == nullptr || !task->run || task->run->number != run || task->run->worker != id
-        || worker == this->workers.end()
-        || (task->run->phase != RunPhase::Ordered
-            && task->run->phase != RunPhase::OutcomeUnknown)) {
+        || worker == this->workers.end()) {
+        return;
+    }
+    LiveRun &live = *task->run;
+    const bool answered = ok(result) || errorOf(result).outcome == Outcome::NotRun;
+    if (answered && live.unansweredStarts > 0 && --live.unansweredStarts == 0) {
+        live.startMayArriveUntil = SteadyTime{};
+    }
+    if (live.phase != RunPhase::Ordered && live.phase != RunPhase::OutcomeUnknown) {
         return;
     }
     if (started) {
         spdlog::debug("event=run-confirmed task={} run={} worker={}", toString(key), run.value,
                       id.value);
-        if (task->run->phase == RunPhase::Ordered) {
-            task->run->phase = RunPhase::Running;
-            task->run->since = this->context.clock.steadyNow();
+        if (live.phase == RunPhase::Ordered) {
+            live.phase = RunPhase::Running;
+            live.since = this->context.clock.steadyNow();
         }
         worker->second.lastContact = this->context.clock.steadyNow();
-        return;
+    } else if (!answered) {
+        this->onStartUnanswered(key, *task, worker->second, errorOf(result), effects);
+    } else {
+        this->onStartRefused(key, result, worker->second, effects);
     }
-    const bool outcomeUnknown = !ok(result) && errorOf(result).outcome == Outcome::Unknown;
-    if (outcomeUnknown) {
-        spdlog::info("event=start-unanswered task={} run={} worker={} {}", toString(key), run.value,
-                     id.value, gooseberry::describe(errorOf(result)));
-        task->run->phase = RunPhase::OutcomeUnknown;
-        task->run->since = this->context.clock.steadyNow();
-        if (this->recordOrderFailure(worker->second, errorOf(result)) == OrderFailure::Worker) {
-            this->avoidWorker(worker->second, initialAvoidance, "start-unanswered");
-        }
-        this->requestStop(key, *task->run, effects);
-        this->stopGang(key, run, effects);
+}
+
+bool UpstreamScheduler::mayRepeatStart(const LiveRun &run, const UpstreamWorker &worker,
+                                       const StepSpec &spec) const
+{
+    return run.startsSent < (spec.gang ? maxGangStarts : maxStarts) && !run.stopRequested
+        && !worker.lastRenewalFailed && !worker.left
+        && (!run.ticketExpiresBy || this->context.clock.steadyNow() <= run.ticketUsableUntil);
+}
+
+void UpstreamScheduler::onStartUnanswered(const TaskKey &key, LiveTask &task,
+                                          UpstreamWorker &worker, const Error &error,
+                                          Effects &effects)
+{
+    LiveRun &run = *task.run;
+    const StepSpec &spec = this->workflows.at(key.workflow).spec->steps[key.step];
+    const bool repeats = this->mayRepeatStart(run, worker, spec);
+    spdlog::info("event=start-unanswered task={} run={} worker={} repeats={} {}", toString(key),
+                 run.number.value, worker.record.id.value, repeats, gooseberry::describe(error));
+    run.phase = RunPhase::OutcomeUnknown;
+    run.since = this->context.clock.steadyNow();
+    if (this->recordOrderFailure(worker, error) == OrderFailure::Worker) {
+        this->avoidWorker(worker, initialAvoidance, "start-unanswered");
+    }
+    if (repeats) {
+        // The worker starts the run once at most. On another worker, the task could run twice: a
+        // later incarnation of this one may still carry out the start.
+        this->sendStart(key, task, effects);
         return;
     }
+    this->requestStop(key, run, effects);
+    this->stopGang(key, run.number, effects);
+}
+
+void UpstreamScheduler::onStartRefused(const TaskKey &key, const Result<StartReply> &result,
+                                       UpstreamWorker &worker, Effects &effects)
+{
+    LiveWorkflow *workflow = nullptr;
+    LiveStep *step = nullptr;
+    LiveTask *task = this->findTask(key, &workflow, &step);
+    const RunNumber run = task->run->number;
     if (!ok(result)) {
         // What kept the order from being sent probably goes on for a moment.
         task->notBefore = this->context.clock.steadyNow() + unsentStartDelay;
     }
     const char *reason = ok(result) ? describe(valueOf(result).result) : "not-sent";
     spdlog::info("event=start-refused task={} run={} worker={} reason={}", toString(key), run.value,
-                 id.value, reason);
+                 worker.record.id.value, reason);
     const bool workerFailed = ok(result)
         ? valueOf(result).result == StartResult::Unhealthy
             || valueOf(result).result == StartResult::NoCapacity
-        : this->recordOrderFailure(worker->second, errorOf(result)) == OrderFailure::Worker;
+        : this->recordOrderFailure(worker, errorOf(result)) == OrderFailure::Worker;
     if (workerFailed) {
-        this->avoidWorker(worker->second, initialAvoidance, reason);
+        this->avoidWorker(worker, initialAvoidance, reason);
     }
     if (ok(result) && valueOf(result).result == StartResult::NoTicket) {
-        std::erase_if(step->allowed, [&](const AllowedWorker &allowed) {
-            return allowed.slot == worker->second.slot;
-        });
-        step->queriedSlots.erase(worker->second.slot);
+        std::erase_if(step->allowed,
+                      [&](const AllowedWorker &allowed) { return allowed.slot == worker.slot; });
+        step->queriedSlots.erase(worker.slot);
         if (workflow->queueRule == nullptr || !workflow->queueRule->advice) {
             task->notBefore = this->context.clock.steadyNow() + missingAdviserDelay;
         }
     }
+    if (task->run->unansweredStarts > 0) {
+        // An earlier start of the run got no answer and may have been carried out.
+        task->run->phase = RunPhase::OutcomeUnknown;
+        this->requestStop(key, *task->run, effects);
+        this->stopGang(key, run, effects);
+        return;
+    }
     this->stopGang(key, run, effects);
     this->releaseRun(key, effects);
     this->schedulePlacement(effects);
--- a/libs/dispatch/src/upstream_scheduler_workers.cpp
+++ b/libs/dispatch/src/upstream_scheduler_workers.cpp
@@ -1,5 +1,4 @@
-// The workers of an upstream scheduler: heartbeats, lease renewal, reports of runs and lease
-// expiry.
+// The workers of an upstream scheduler: heartbeats, lease renewal and reports of runs.
 
 #include <dispatch/upstream_scheduler.h>
 
@@ -13,15 +12,6 @@
 
 /** Delay before a lease renewal that got no answer is sent again. */
 constexpr std::chrono::milliseconds renewalRetryDelay{400};
-/**
- * An order that got no answer may be carried out up to this much later, also by the next
- * incarnation of the worker.
- */
-constexpr std::chrono::seconds maxOrderDelay{15};
-/** Added to the lease expiry for timers that fire late. */
-constexpr std::chrono::milliseconds leaseExpiryMargin{300};
-/** A worker's stops without an answer are checked every so many ticks, a part of them each tick. */
-constexpr std::uint32_t stopCheckTicks = 5;
 /** Delay before the command for ends that could not be stored is proposed again. */
 constexpr std::chrono::milliseconds storeRetryDelay{200};
 
@@ -64,11 +54,10 @@
 
 void UpstreamScheduler::expectEarlierOrders(UpstreamWorker &worker) const
 {
-    const SteadyTime now = this->context.clock.steadyNow();
-    worker.delayedOrdersUntil = now + maxOrderDelay;
     // The lease end in such an order is far ahead on the clock of the later incarnation.
-    worker.earlierLeasesExpireBy = std::max(worker.earlierLeasesExpireBy,
-                                            latestExpiryOf(this->settings.longestWorkerLease, now));
+    worker.earlierLeasesExpireBy = std::max(
+        worker.earlierLeasesExpireBy,
+        latestExpiryOf(this->settings.longestWorkerLease, this->context.clock.steadyNow()));
 }
 
 void UpstreamScheduler::workerChanged(const WorkerRecord &record)
@@ -81,6 +70,10 @@
         }
         if (added || record.incarnation != worker.record.incarnation) {
             this->beginIncarnation(worker, record, effects);
+            const auto removed = this->removedWorkers.find(record.id);
+            if (added && removed != this->removedWorkers.end()) {
+                worker.restarts = removed->second.restarts + 1;
+            }
         }
         worker.record = record;
         // A heartbeat of an incarnation that has deregistered was delayed on its way.
@@ -97,10 +90,23 @@
                 other.replaced = true;
             }
         }
+        // Until the worker has seen its higher token, it carries out delayed orders to its earlier
+        // incarnations.
+        this->renewLeaseIfNeeded(worker, effects);
         this->schedulePlacement(effects);
     });
 }
 
+SteadyTime UpstreamScheduler::recoveredStartArrival(const LiveWorkflow &workflow) const
+{
+    std::optional<SteadyTime> ticketExpiresBy;
+    if (workflow.queueRule != nullptr && workflow.queueRule->advice) {
+        ticketExpiresBy
+            = latestExpiryOf(workflow.queueRule->advice->ticketValidity, this->termBegan);
+    }
+    return latestStartArrival(this->termBegan, ticketExpiresBy);
+}
+
 void UpstreamScheduler::beginIncarnation(UpstreamWorker &worker, const WorkerRecord &record,
                                          Effects &effects)
 {
@@ -120,33 +126,38 @@
     ++worker.restarts;
     worker.failuresInRow = 0;
     worker.lastRenewalFailed = false;
+    // The answer to a renewal of the earlier incarnation is ignored.
+    worker.renewalInFlight = false;
     worker.avoidUntil = now;
     for (const auto &[key, number] : runs) {
-        LiveTask *task = this->findTask(key);
+        LiveWorkflow *workflow = nullptr;
+        LiveTask *task = this->findTask(key, &workflow);
         if (task == nullptr || !task->run || task->run->phase == RunPhase::Ending) {
             continue;
         }
-        if (task->run->phase == RunPhase::Recovered) {
-            // The next report of the new incarnation tells whether it took the start.
-            this->expectEarlierOrders(worker);
+        LiveRun &run = *task->run;
+        if (run.phase == RunPhase::Proposed) {
             continue;
         }
+        if (run.startsSent == 0) {
+            // An earlier leader sent the start, perhaps more than once.
+            run.startMayArriveUntil = this->recoveredStartArrival(*workflow);
+        }
         // The answer to a start does not tell which incarnation of the worker gave it.
-        const bool incarnationUnknown
-            = task->run->phase == RunPhase::Running && !task->run->reported;
-        task->run->reported = false;
-        if (incarnationUnknown || task->run->phase == RunPhase::Ordered
-            || task->run->phase == RunPhase::OutcomeUnknown) {
-            // The start may still reach the new incarnation.
-            task->run->phase = RunPhase::OutcomeUnknown;
-            task->run->stopAnsweredAt.reset();
-            this->expectEarlierOrders(worker);
-            this->requestStop(key, *task->run, effects);
-        } else if (task->run->phase != RunPhase::Proposed) {
-            spdlog::info("event=run-lost task={} run={} worker={} reason=worker-restarted",
-                         toString(key), number.value, worker.record.id.value);
-            this->releaseRun(key, effects);
+        const bool endedBefore = run.reported
+            && ((run.startsSent > 0 && run.unansweredStarts == 0) || now > run.startMayArriveUntil);
+        run.reported = false;
+        run.absent = false;
+        if (endedBefore) {
+            this->releaseAbsentRun(key, "worker-restarted", effects);
+            continue;
         }
+        // The start may have reached the new incarnation, or may still do so; its next report
+        // tells.
+        run.phase = RunPhase::Recovered;
+        run.stopAnsweredAt.reset();
+        this->heldRuns.erase(key);
+        this->expectEarlierOrders(worker);
     }
 }
 
@@ -190,8 +201,7 @@
             if (task == nullptr || !task->run) {
                 continue;
             }
-            if (task->run->phase == RunPhase::Ordered
-                || task->run->phase == RunPhase::OutcomeUnknown) {
+            if (task->run->unansweredStarts > 0) {
                 // The worker may restart under the same id, and then take the start.
                 this->expectEarlierOrders(worker);
             }
@@ -267,7 +277,7 @@
                                             Effects &effects)
 {
     const auto found = this->workers.find(id);
-    if (found == this->workers.end()) {
+    if (found == this->workers.end() || found->second.record.incarnation != incarnation) {
         return;
     }
     UpstreamWorker &worker = found->second;
@@ -285,10 +295,6 @@
             });
         });
     };
-    if (worker.record.incarnation != incarnation) {
-        renewAfter(Duration::zero());
-        return;
-    }
     if (!ok(result)) {
         const OrderFailure failure = this->recordOrderFailure(worker, errorOf(result));
         spdlog::info("event=hold-unanswered worker={} {}", id.value, describe(errorOf(result)));
@@ -314,8 +320,13 @@
         WorkerRecord record = worker.record;
         record.incarnation = *reply.incarnation;
         this->beginIncarnation(worker, record, effects);
+        // This renewal had the token of the earlier incarnation, so the worker may still carry out
+        // delayed starts. The next one has a higher token, and its report counts.
+        this->recordClock(worker, reply.clock, now);
+        this->renewLeaseIfNeeded(worker, effects);
+        return;
     }
-    worker.fenceConfirmed = true;
+    this->confirmFence(worker);
     this->recordClock(worker, reply.clock, now);
     std::vector<RunningEntry> orphanedRuns;
     for (const RunningEntry &entry : reply.running) {
@@ -332,6 +343,21 @@
     renewAfter(reply.ended.empty() ? Duration::zero() : pause);
 }
 
+void UpstreamScheduler::confirmFence(UpstreamWorker &worker)
+{
+    if (worker.fenceConfirmed) {
+        return;
+    }
+    worker.fenceConfirmed = true;
+    for (const auto &[key, number] : worker.runs) {
+        LiveTask *task = this->findTask(key);
+        if (task != nullptr && task->run && task->run->phase == RunPhase::Recovered) {
+            task->run->unansweredStarts = 0;
+            task->run->startMayArriveUntil = SteadyTime{};
+        }
+    }
+}
+
 bool UpstreamScheduler::recordReportedRun(UpstreamWorker &worker, const RunningEntry &entry)
 {
     LiveWorkflow *workflow = nullptr;
@@ -345,6 +371,11 @@
     }
     LiveRun &run = *task->run;
     run.reported = true;
+    if (run.absent) {
+        run.absent = false;
+        run.stopAnsweredAt.reset();
+        this->heldRuns.erase(entry.task);
+    }
     run.percent = entry.percent;
     if (!entry.checkpoint.empty()) {
         run.checkpoint = entry.checkpoint;
@@ -439,8 +470,7 @@
             spdlog::info("event=run-interrupted task={} run={} worker={} kind={}",
                          toString(end.task), end.run.value, worker.record.id.value,
                          static_cast<int>(end.kind));
-            this->stopGang(end.task, end.run, effects);
-            this->releaseRun(end.task, effects);
+            this->releaseAbsentRun(end.task, "interrupted", effects);
         }
     }
     if (!numbers.empty()) {
@@ -496,8 +526,7 @@
         if (end.result == StoredResult::Done) {
             this->completeTask(end.task, end.run, effects);
         } else if (task->run && task->run->number == end.run) {
-            this->stopGang(end.task, end.run, effects);
-            this->releaseRun(end.task, effects);
+            this->releaseAbsentRun(end.task, "failed", effects);
         }
     }
     for (const auto &[workflow, phase] : valueOf(result).ended) {
@@ -509,106 +538,4 @@
     this->schedulePlacement(effects);
 }
 
-void UpstreamScheduler::releaseUnreportedRuns(UpstreamWorker &worker,
-                                              const LeaseRenewalReply &reply, SteadyTime sentAt,
-                                              Effects &effects)
-{
-    if (!reply.complete) {
-        return;
-    }
-    std::set<std::pair<TaskKey, RunNumber>> reported;
-    for (const RunningEntry &entry : reply.running) {
-        reported.emplace(entry.task, entry.run);
-    }
-    const std::map<TaskKey, RunNumber> runs = worker.runs;
-    for (const auto &[key, number] : runs) {
-        LiveTask *task = this->findTask(key);
-        if (reported.contains({key, number}) || task == nullptr || !task->run
-            || task->run->number != number || task->run->worker != worker.record.id) {
-            continue;
-        }
-        const LiveRun &run = *task->run;
-        // The reply proves that a run is absent only if its state was known before the renewal was
-        // sent.
-        const bool stopped = run.stopAnsweredAt && *run.stopAnsweredAt < sentAt;
-        const bool absent = (run.phase == RunPhase::Running && run.since < sentAt)
-            || run.phase == RunPhase::Recovered
-            || (run.phase == RunPhase::OutcomeUnknown && stopped);
-        if (absent) {
-            spdlog::info("event=run-lost task={} run={} worker={} reason=not-listed phase={}",
-                         toString(key), number.value, worker.record.id.value,
-                         static_cast<int>(run.phase));
-            this->stopGang(key, number, effects);
-            this->releaseRun(key, effects);
-        }
-    }
-}
-
-void UpstreamScheduler::releaseRunsOfExpiredLeases(UpstreamWorker &worker, Effects &effects)
-{
-    const SteadyTime now = this->context.clock.steadyNow();
-    if (now <= lastLeaseExpiry(worker) + leaseExpiryMargin) {
-        return;
-    }
-    this->clearOrphanedRuns(worker);
-    const std::map<TaskKey, RunNumber> runs = worker.runs;
-    for (const auto &[key, number] : runs) {
-        LiveTask *task = this->findTask(key);
-        if (task == nullptr || !task->run || task->run->phase == RunPhase::Ending
-            || task->run->phase == RunPhase::Proposed) {
-            continue;
-        }
-        const bool startMayBeDelayed = task->run->phase == RunPhase::OutcomeUnknown
-            || task->run->phase == RunPhase::Recovered;
-        if (startMayBeDelayed && now <= worker.delayedOrdersUntil) {
-            continue;
-        }
-        const auto silence
-            = std::chrono::duration_cast<std::chrono::milliseconds>(now - worker.lastContact);
-        spdlog::info("event=run-lost task={} run={} worker={} reason=lease-over phase={} "
-                     "silence={}ms granted={}",
-                     toString(key), number.value, worker.record.id.value,
-                     static_cast<int>(task->run->phase), silence.count(),
-                     worker.leaseGranted.time_since_epoch().count());
-        this->stopGang(key, number, effects);
-        this->releaseRun(key, effects);
-    }
-}
-
-void UpstreamScheduler::handleExpiredLeases(Effects &effects)
-{
-    const SteadyTime now = this->context.clock.steadyNow();
-    ++this->ticks;
-    std::vector<InstanceId> removed;
-    for (auto &[id, worker] : this->workers) {
-        this->releaseRunsOfExpiredLeases(worker, effects);
-        if (worker.runs.empty() && worker.orphanedRuns.empty()
-            && (worker.left || now - worker.lastContact > this->settings.forgetTimeout)) {
-            removed.push_back(id);
-        }
-        if (worker.slot % stopCheckTicks != this->ticks % stopCheckTicks) {
-            continue;
-        }
-        for (const auto &[key, number] : worker.runs) {
-            LiveTask *task = this->findTask(key);
-            if (task != nullptr && task->run && task->run->stopRequested
-                && !task->run->stopAnsweredAt) {
-                this->requestStop(key, *task->run, effects);
-            }
-        }
-    }
-    for (const InstanceId &id : removed) {
-        const WorkerRecord record = this->workers.at(id).record;
-        this->workers.erase(id);
-        effects.push_back([self = this->shared_from_this(), record]() {
-            self->context.log.propose(
-                ForgetWorker{.id = record.id, .incarnation = record.incarnation},
-                [id = record.id](const Result<CommandOutcome> &result) {
-                    spdlog::info("event=worker-forgotten worker={} stored={}", id.value,
-                                 ok(result));
-                });
-        });
-    }
-}
-
 } // namespace gooseberry
--- /dev/null
+++ b/libs/dispatch/test/delayed_start_test.cpp
@@ -0,0 +1,188 @@
+// Tests of starts that get no answer and are carried out late, by the worker that they were sent to
+// or by a later incarnation under the same id, which knows nothing of a stop.
+
+#include <boost/test/unit_test.hpp>
+
+#include "dispatch_fixture.h"
+
+using namespace gooseberry;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** The start of the only task gets no answer; its worker answers everything else. */
+struct DelayedStartFixture : DispatchFixture
+{
+    explicit DelayedStartFixture(bool withTicket = false)
+    {
+        this->workers.acceptsAnyIncarnation = true;
+        if (withTicket) {
+            this->changeConfig([](RoutingConfig &next) {
+                next.queues.front().advice = AdviserTiming{
+                    .decision = 10ms, .timePerWorker = 1ms, .ticketValidity = 1500ms};
+            });
+        }
+        for (auto &[worker, fake] : this->workers.workers) {
+            fake.startsUnanswered = true;
+        }
+        this->key = DispatchFixture::task(this->submit("a", {DispatchFixture::step(1)}), 0);
+        this->run(300ms);
+        BOOST_REQUIRE(this->workers.delayedStarts.size() == 1U);
+        this->first = &this->workers.workers[this->workers.delayedStarts.front().first];
+        for (auto &[worker, fake] : this->workers.workers) {
+            fake.startsUnanswered = &fake == this->first;
+        }
+    }
+
+    /** Restarts the first worker under its id; nobody knows of it yet. */
+    void restartFirst() const
+    {
+        this->first->running.clear();
+        this->first->ended.clear();
+        this->first->refusedRuns.clear();
+        this->first->lastEnd = 0;
+        this->first->acknowledged = 0;
+        this->first->fence = FencingToken(0);
+        this->first->startsUnanswered = false;
+        this->first->record.incarnation += 5s;
+    }
+
+    bool runsElsewhere() const
+    {
+        for (const auto &[id, fake] : this->workers.workers) {
+            if (&fake != this->first && fake.running.contains(this->key)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    TaskKey key;
+    FakeWorker *first = nullptr;
+};
+
+struct TicketedStartFixture : DelayedStartFixture
+{
+    TicketedStartFixture()
+        : DelayedStartFixture(true)
+    {
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(DelayedStartTest)
+
+// Guards against a second run beside a delayed start that the worker's next incarnation carries
+// out: an answered stop and a report without the run bind one incarnation only.
+BOOST_FIXTURE_TEST_CASE(KeepsTheTaskOffOtherWorkersWhileTheNextIncarnationMayStartIt,
+                        DelayedStartFixture)
+{
+    this->run(3000ms);
+    this->restartFirst();
+    this->workers.deliverDelayedStarts();
+    BOOST_TEST(this->workers.violations.empty());
+    this->announce(this->first->record.id, [](WorkerRecord &) {});
+    this->run(3000ms);
+    BOOST_TEST(this->workers.runningTasks() == 1U);
+    BOOST_TEST(this->workers.violations.empty());
+}
+
+// Guards against a needless wait after the restart: once the next incarnation has answered a
+// renewal with a higher token, it refuses the delayed start.
+BOOST_FIXTURE_TEST_CASE(RunsTheTaskOnceTheNextIncarnationRefusesTheStart, DelayedStartFixture)
+{
+    this->run(3000ms);
+    this->restartFirst();
+    this->announce(this->first->record.id, [](WorkerRecord &) {});
+    this->run(500ms);
+    BOOST_TEST(this->workers.runningTasks() == 1U);
+    this->workers.deliverDelayedStarts();
+    BOOST_TEST(this->workers.violations.empty());
+    BOOST_TEST(this->workers.runningTasks() == 1U);
+}
+
+// Guards against a report that counts although its renewal carried the token from before the
+// restart: the worker had not seen the higher token and still took the delayed start.
+BOOST_FIXTURE_TEST_CASE(TakesNoProofFromTheReportThatTellsOfTheRestart, DelayedStartFixture)
+{
+    this->run(1700ms);
+    this->restartFirst();
+    // The renewal in flight is answered by the new incarnation.
+    this->timers.advance(11ms);
+    this->workers.deliverDelayedStarts();
+    BOOST_TEST(this->workers.violations.empty());
+    this->run(3000ms);
+    BOOST_TEST(this->workers.violations.empty());
+    BOOST_TEST(this->workers.runningTasks() == 1U);
+}
+
+// Guards against a task that waits for seconds because one start was lost: the worker starts a run
+// once at most, so the same start can be sent to it again.
+BOOST_FIXTURE_TEST_CASE(SendsAnUnansweredStartToTheSameWorkerAgain, DelayedStartFixture)
+{
+    this->first->startsUnanswered = false;
+    this->run(1000ms);
+    BOOST_TEST(this->first->running.contains(this->key));
+    BOOST_TEST(this->first->running[this->key].value == 1U);
+    BOOST_TEST(!this->runsElsewhere());
+}
+
+// Guards against a second run if the repeated start failed on the worker and the delayed one is
+// then carried out by the next incarnation, which does not know of the failure.
+BOOST_FIXTURE_TEST_CASE(KeepsATaskThatFailedOffOtherWorkersWhileItsFirstStartIsDelayed,
+                        DelayedStartFixture)
+{
+    this->first->startsUnanswered = false;
+    this->run(1000ms);
+    BOOST_REQUIRE(this->first->running.contains(this->key));
+    this->workers.end(this->first->record.id, this->key, EndKind::Failed);
+    this->run(3000ms);
+    this->restartFirst();
+    this->workers.deliverDelayedStarts();
+    BOOST_TEST(this->workers.violations.empty());
+    this->announce(this->first->record.id, [](WorkerRecord &) {});
+    this->run(16'000ms);
+    BOOST_TEST(this->workers.violations.empty());
+    BOOST_TEST(this->workers.runningTasks() == 1U);
+}
+
+// Guards against a task that waits for good: no order is delayed for longer than 15 s.
+BOOST_FIXTURE_TEST_CASE(RunsTheTaskOnceTheStartIsTooOld, DelayedStartFixture)
+{
+    this->run(10'000ms);
+    const std::size_t sent = this->workers.delayedStarts.size();
+    this->run(10'000ms);
+    BOOST_TEST(!this->runsElsewhere());
+    BOOST_TEST(this->workers.delayedStarts.size() == sent);
+    this->first->startsUnanswered = false;
+    this->run(5000ms);
+    BOOST_TEST(this->workers.runningTasks() == 1U);
+}
+
+// Guards against a wait for a start that can't be carried out, as its ticket has expired.
+BOOST_FIXTURE_TEST_CASE(RunsTheTaskElsewhereOnceTheTicketOfTheStartHasExpired, TicketedStartFixture)
+{
+    this->run(2500ms);
+    BOOST_TEST(this->runsElsewhere());
+}
+
+// Guards against equal tokens for two incarnations of a worker that left in between: the second one
+// carried out the start that was sent to the first.
+BOOST_FIXTURE_TEST_CASE(RaisesTheTokenOfAWorkerThatReturnsAfterItHasLeft, DelayedStartFixture)
+{
+    const InstanceId id = this->first->record.id;
+    this->first->startsUnanswered = false;
+    this->run(1000ms);
+    this->finishAll();
+    this->run(1000ms);
+    const FencingToken before = this->first->fence;
+    this->deregister(id);
+    this->run(300ms);
+    this->restartFirst();
+    this->announce(id, [](WorkerRecord &) {});
+    this->run(300ms);
+    BOOST_TEST(this->first->fence.value > before.value);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/libs/dispatch/test/dispatcher_test.cpp
+++ b/libs/dispatch/test/dispatcher_test.cpp
@@ -313,6 +313,11 @@
 BOOST_AUTO_TEST_CASE(ANewIncarnationRefusesTheDelayedStartOfAReleasedRun)
 {
     DispatchFixture cell(2);
+    // The ticket expires, so that the run is released before the restart.
+    cell.changeConfig([](RoutingConfig &config) {
+        config.queues.front().advice
+            = AdviserTiming{.decision = 10ms, .timePerWorker = 1ms, .ticketValidity = 1500ms};
+    });
     for (auto &[worker, state] : cell.workers.workers) {
         state.startsUnanswered = true;
     }
