Bound the occurrences that are live at once

Cause: all due occurrences were created at once, under the scheduler's lock, and the replicated state kept each of them until the workflow ended.

--- a/libs/dispatch/include/dispatch/dispatch.h
+++ b/libs/dispatch/include/dispatch/dispatch.h
@@ -12,6 +12,7 @@
 #include <dispatch/dispatch_settings.h>
 #include <dispatch/dispatcher.h>
 #include <dispatch/live_workflow.h>
+#include <dispatch/occurrence_load.h>
 #include <dispatch/run_evidence.h>
 #include <dispatch/step_urgency.h>
 #include <dispatch/task_placement.h>
--- a/libs/dispatch/include/dispatch/live_workflow.h
+++ b/libs/dispatch/include/dispatch/live_workflow.h
@@ -118,8 +118,13 @@
     bool ended = false;
     /** A worker has answered a start of one of its tasks with success, or has reported a run. */
     bool startConfirmed = false;
+    /** The occurrences that have begun and not ended. */
     std::map<std::uint32_t, LiveOccurrence> occurrences;
+    /** Those that had ended before this leader's term. */
+    OccurrenceSet endedOccurrences;
     std::uint32_t nextOccurrence = 0;
+    /** Occurrences that are due wait until earlier ones end. */
+    bool occurrencesHeldBack = false;
     std::size_t activeRuns = 0;
 };
 
--- a/libs/dispatch/include/dispatch/upstream_scheduler.h
+++ b/libs/dispatch/include/dispatch/upstream_scheduler.h
@@ -15,6 +15,7 @@
 #include <dispatch/dispatch_observer.h>
 #include <dispatch/dispatch_settings.h>
 #include <dispatch/live_workflow.h>
+#include <dispatch/occurrence_load.h>
 #include <dispatch/run_evidence.h>
 #include <dispatch/task_placement.h>
 #include <dispatch/upstream_worker.h>
@@ -114,11 +115,21 @@
 
     // upstream_scheduler.cpp: workflows and tasks.
     LiveWorkflow &createWorkflow(const WorkflowRecord &workflow);
+    void recoverOccurrence(LiveWorkflow &workflow, std::uint32_t number,
+                           const OccurrenceState &stored);
     /** Adds a run that an earlier leader has stored and that may be executing. */
     void recoverRun(LiveWorkflow &workflow, const TaskKey &key, const StoredTask &stored);
-    /** Creates the occurrences of the workflow that are due. */
-    void beginOccurrences(LiveWorkflow &workflow, Effects &effects);
     LiveOccurrence newOccurrence(const LiveWorkflow &workflow) const;
+
+    // upstream_scheduler_occurrences.cpp: occurrences of workflows with a timetable.
+    /** Begins occurrences of all workflows. */
+    void beginAllOccurrences(Effects &effects);
+    /** Begins the occurrences of the workflow that are due, as many as may be live. */
+    void beginOccurrences(LiveWorkflow &workflow, Effects &effects);
+    /** Removes the occurrences of the workflow whose tasks are done and whose runs are released. */
+    static void eraseEndedOccurrences(LiveWorkflow &workflow);
+
+    // upstream_scheduler.cpp: workflows and tasks.
     /** Marks the steps whose dependencies are done. */
     static void updateReady(LiveWorkflow &workflow, LiveOccurrence &occurrence);
     LiveTask *findTask(const TaskKey &key, LiveWorkflow **workflow = nullptr,
@@ -341,6 +352,8 @@
      * For each queue, the running mean of the fraction of listed workers that the adviser allows.
      */
     std::map<std::string, double> allowedShare;
+    /** The live occurrences of all workflows with a timetable, as of the last tick. */
+    OccurrenceLoad occurrenceLoad;
     /** Workflows with a confirmed start that is not proposed yet. */
     std::vector<WorkflowId> unstoredStarts;
     bool startStorageScheduled = false;
--- a/libs/dispatch/src/upstream_scheduler.cpp
+++ b/libs/dispatch/src/upstream_scheduler.cpp
@@ -84,9 +84,7 @@
         for (auto &[id, worker] : this->workers) {
             this->renewLeaseIfNeeded(worker, effects);
         }
-        for (auto &[id, workflow] : this->workflows) {
-            this->beginOccurrences(workflow, effects);
-        }
+        this->beginAllOccurrences(effects);
         this->schedulePlacement(effects);
     });
     this->context.schedule(this->settings.tickInterval, [weak = this->weak_from_this()]() {
@@ -134,34 +132,6 @@
     return live;
 }
 
-void UpstreamScheduler::beginOccurrences(LiveWorkflow &workflow, Effects &effects)
-{
-    const Timetable &timetable = workflow.spec->timetable;
-    const std::uint32_t count = occurrenceCount(*workflow.spec);
-    const auto now = this->context.clock.wallNow().time_since_epoch();
-    while (!workflow.ended && workflow.nextOccurrence < count) {
-        const std::uint32_t number = workflow.nextOccurrence;
-        const auto due = timetable.first + timetable.interval * number;
-        if (timetable.occurrences > 0 && now < due) {
-            // The tick interval is too coarse for the last part of the wait, so a timer covers it.
-            if (now + this->settings.tickInterval >= due) {
-                this->runLater(due - now, [this, id = workflow.id](Effects &later) {
-                    const auto found = this->workflows.find(id);
-                    if (found != this->workflows.end()) {
-                        this->beginOccurrences(found->second, later);
-                    }
-                });
-            }
-            return;
-        }
-        ++workflow.nextOccurrence;
-        const auto [found, added]
-            = workflow.occurrences.try_emplace(number, this->newOccurrence(workflow));
-        updateReady(workflow, found->second);
-        this->schedulePlacement(effects);
-    }
-}
-
 void UpstreamScheduler::updateReady(LiveWorkflow &workflow, LiveOccurrence &occurrence)
 {
     for (std::size_t number = 0; number < occurrence.size(); ++number) {
@@ -188,36 +158,43 @@
     const std::lock_guard lock(this->mutex);
     LiveWorkflow &live = this->createWorkflow(workflow);
     for (const auto &[number, stored] : workflow.occurrences) {
-        LiveOccurrence &occurrence
-            = live.occurrences.emplace(number, this->newOccurrence(live)).first->second;
-        for (std::uint32_t step = 0; step < stored.size(); ++step) {
-            for (std::uint32_t index = 0; index < stored[step].tasks.size(); ++index) {
-                const StoredTask &state = stored[step].tasks[index];
-                LiveTask &task = occurrence[step].tasks[index];
-                task.lastRun = state.run;
-                task.checkpoint = state.checkpoint;
-                if (state.phase == StoredTaskPhase::Done) {
-                    task.done = true;
-                    ++occurrence[step].done;
-                    --occurrence[step].waiting;
-                } else if (state.phase == StoredTaskPhase::Assigned) {
-                    this->recoverRun(live,
-                                     TaskKey{.workflow = workflow.id,
-                                             .occurrence = number,
-                                             .step = step,
-                                             .index = index},
-                                     state);
-                }
-            }
-        }
-        updateReady(live, occurrence);
+        this->recoverOccurrence(live, number, stored);
     }
+    live.endedOccurrences = workflow.endedOccurrences;
     // The first tick after begin() schedules a placement pass, so these effects are dropped.
     Effects none;
     this->beginOccurrences(live, none);
     this->placementScheduled = false;
 }
 
+void UpstreamScheduler::recoverOccurrence(LiveWorkflow &workflow, std::uint32_t number,
+                                          const OccurrenceState &stored)
+{
+    LiveOccurrence &occurrence
+        = workflow.occurrences.emplace(number, this->newOccurrence(workflow)).first->second;
+    for (std::uint32_t step = 0; step < stored.size(); ++step) {
+        for (std::uint32_t index = 0; index < stored[step].tasks.size(); ++index) {
+            const StoredTask &state = stored[step].tasks[index];
+            LiveTask &task = occurrence[step].tasks[index];
+            task.lastRun = state.run;
+            task.checkpoint = state.checkpoint;
+            if (state.phase == StoredTaskPhase::Done) {
+                task.done = true;
+                ++occurrence[step].done;
+                --occurrence[step].waiting;
+            } else if (state.phase == StoredTaskPhase::Assigned) {
+                this->recoverRun(workflow,
+                                 TaskKey{.workflow = workflow.id,
+                                         .occurrence = number,
+                                         .step = step,
+                                         .index = index},
+                                 state);
+            }
+        }
+    }
+    updateReady(workflow, occurrence);
+}
+
 void UpstreamScheduler::recoverRun(LiveWorkflow &workflow, const TaskKey &key,
                                    const StoredTask &stored)
 {
@@ -270,9 +247,13 @@
 {
     for (const WorkflowId &id : this->possiblyFinished) {
         const auto found = this->workflows.find(id);
-        if (found != this->workflows.end() && found->second.ended
-            && found->second.activeRuns == 0) {
+        if (found == this->workflows.end()) {
+            continue;
+        }
+        if (found->second.ended && found->second.activeRuns == 0) {
             this->workflows.erase(found);
+        } else {
+            eraseEndedOccurrences(found->second);
         }
     }
     this->possiblyFinished.clear();
--- a/libs/dispatch/src/upstream_scheduler_runs.cpp
+++ b/libs/dispatch/src/upstream_scheduler_runs.cpp
@@ -425,6 +425,7 @@
     } else {
         finish(*task, key);
     }
+    this->possiblyFinished.insert(id);
     const auto found = this->workflows.find(id);
     if (found != this->workflows.end()) {
         updateReady(found->second, found->second.occurrences.at(key.occurrence));
--- a/libs/workflow/include/workflow/records.h
+++ b/libs/workflow/include/workflow/records.h
@@ -165,6 +165,12 @@
     codec(value.rule, value.retiredAt);
 }
 
+template<typename Codec>
+void fields(Codec &codec, OccurrenceSet &value)
+{
+    codec(value.ranges);
+}
+
 /** A workflow as stored in a snapshot. */
 struct StoredWorkflow
 {
@@ -186,9 +192,9 @@
 {
     /**
      * Version 1 has no retired queues and customers. Up to version 2, a workflow is running from
-     * its first assignment on.
+     * its first assignment on. Up to version 3, the state of ended occurrences is kept whole.
      */
-    std::uint32_t version = 3;
+    std::uint32_t version = 4;
     CellTime now;
     std::optional<RoutingConfig> config;
     std::set<FailureDomainId> evacuated;
@@ -196,6 +202,8 @@
     std::vector<StoredWorkflow> workflows;
     std::vector<RetiredQueue> retiredQueues;
     std::vector<RetiredCustomer> retiredCustomers;
+    /** Of workflows with a timetable that have not ended. */
+    std::map<WorkflowId, OccurrenceSet> endedOccurrences;
 };
 
 template<typename Codec>
@@ -205,6 +213,9 @@
     if (value.version >= 2) {
         codec(value.retiredQueues, value.retiredCustomers);
     }
+    if (value.version >= 4) {
+        codec(value.endedOccurrences);
+    }
 }
 
 } // namespace gooseberry
--- a/libs/workflow/include/workflow/workflow.h
+++ b/libs/workflow/include/workflow/workflow.h
@@ -4,6 +4,7 @@
 // that records the assignment of task runs to workers.
 
 #include <workflow/command.h>
+#include <workflow/occurrence_set.h>
 #include <workflow/records.h>
 #include <workflow/routing_config.h>
 #include <workflow/rules_in_force.h>
--- a/libs/workflow/include/workflow/workflow_state.h
+++ b/libs/workflow/include/workflow/workflow_state.h
@@ -10,6 +10,7 @@
 #include <unordered_map>
 
 #include <workflow/command.h>
+#include <workflow/occurrence_set.h>
 #include <workflow/rules_in_force.h>
 
 namespace gooseberry {
@@ -54,6 +55,9 @@
 
 using OccurrenceState = std::vector<StepState>;
 
+/** Returns whether all tasks of the occurrence are done. */
+bool isDone(const OccurrenceState &occurrence);
+
 /** A workflow with the state of its tasks. */
 struct WorkflowRecord
 {
@@ -66,8 +70,9 @@
     WorkflowPhase phase = WorkflowPhase::Queued;
     CellTime endedAt;
     std::shared_ptr<const WorkflowSpec> spec;
-    /** By occurrence number. An occurrence without an entry has not started. */
+    /** By occurrence number. An occurrence without an entry has not started or has ended. */
     std::map<std::uint32_t, OccurrenceState> occurrences;
+    OccurrenceSet endedOccurrences;
     std::uint32_t occurrencesDone = 0;
 };
 
--- a/libs/workflow/src/workflow_snapshot.cpp
+++ b/libs/workflow/src/workflow_snapshot.cpp
@@ -37,6 +37,19 @@
     return false;
 }
 
+/** Keeps only the numbers of ended occurrences, which earlier snapshots hold whole. */
+void removeEndedOccurrences(WorkflowRecord &workflow)
+{
+    for (auto entry = workflow.occurrences.begin(); entry != workflow.occurrences.end();) {
+        if (isDone(entry->second)) {
+            workflow.endedOccurrences.insert(entry->first);
+            entry = workflow.occurrences.erase(entry);
+        } else {
+            ++entry;
+        }
+    }
+}
+
 } // namespace
 
 std::string WorkflowState::snapshot() const
@@ -57,6 +70,9 @@
         const std::lock_guard lock(shard.mutex);
         for (const auto &[id, workflow] : shard.workflows) {
             stored.workflows.push_back(StoredWorkflow{.record = workflow, .spec = *workflow.spec});
+            if (!workflow.endedOccurrences.ranges.empty()) {
+                stored.endedOccurrences.emplace(workflow.id, workflow.endedOccurrences);
+            }
         }
     }
     // Sorted, so that equal states give equal bytes on all replicas.
@@ -104,6 +120,11 @@
             && workflow.record.phase == WorkflowPhase::Running && !provesStart(workflow.record)) {
             workflow.record.phase = WorkflowPhase::Queued;
         }
+        const auto ended = stored.endedOccurrences.find(workflow.record.id);
+        if (ended != stored.endedOccurrences.end()) {
+            workflow.record.endedOccurrences = ended->second;
+        }
+        removeEndedOccurrences(workflow.record);
         workflow.record.spec = std::make_shared<const WorkflowSpec>(std::move(workflow.spec));
         if (!isLive(workflow.record.phase)) {
             shard.ended.emplace_back(workflow.record.endedAt, workflow.record.id);
--- a/libs/workflow/src/workflow_state.cpp
+++ b/libs/workflow/src/workflow_state.cpp
@@ -20,12 +20,6 @@
     return occurrence;
 }
 
-bool isDone(const OccurrenceState &occurrence)
-{
-    return std::all_of(occurrence.begin(), occurrence.end(),
-                       [](const StepState &step) { return step.done == step.tasks.size(); });
-}
-
 /** The step that a task belongs to; null pointers if the workflow has no such task. */
 struct FoundTask
 {
@@ -33,11 +27,15 @@
     const StepSpec *spec = nullptr;
 };
 
-/** Finds the task's step, and creates the state of its occurrence if that has not started. */
+/**
+ * Finds the task's step, and creates the state of its occurrence if that has not started. An
+ * occurrence that has ended has no steps any more.
+ */
 FoundTask findTask(WorkflowRecord &workflow, const TaskKey &key)
 {
     if (key.occurrence >= occurrenceCount(*workflow.spec) || key.step >= workflow.spec->steps.size()
-        || key.index >= workflow.spec->steps[key.step].count) {
+        || key.index >= workflow.spec->steps[key.step].count
+        || workflow.endedOccurrences.contains(key.occurrence)) {
         return {};
     }
     auto found = workflow.occurrences.find(key.occurrence);
@@ -49,6 +47,12 @@
 
 } // namespace
 
+bool isDone(const OccurrenceState &occurrence)
+{
+    return std::all_of(occurrence.begin(), occurrence.end(),
+                       [](const StepState &step) { return step.done == step.tasks.size(); });
+}
+
 bool isLive(WorkflowPhase phase)
 {
     return phase == WorkflowPhase::Queued || phase == WorkflowPhase::Running;
@@ -130,6 +134,7 @@
                              .endedAt = {},
                              .spec = std::make_shared<const WorkflowSpec>(std::move(valueOf(spec))),
                              .occurrences = {},
+                             .endedOccurrences = {},
                              .occurrencesDone = 0};
         ++shard.queued[command.queue];
     }
@@ -229,6 +234,8 @@
     }
     if (this->applyDone(workflow, *task.step, *task.spec, end)
         && isDone(workflow.occurrences.at(end.task.occurrence))) {
+        workflow.occurrences.erase(end.task.occurrence);
+        workflow.endedOccurrences.insert(end.task.occurrence);
         ++workflow.occurrencesDone;
         if (workflow.occurrencesDone == occurrenceCount(*workflow.spec)) {
             this->endWorkflow(shard, workflow, WorkflowPhase::Completed, outcome);
@@ -295,6 +302,7 @@
     workflow.phase = phase;
     workflow.endedAt = this->time();
     workflow.occurrences.clear();
+    workflow.endedOccurrences = {};
     shard.ended.emplace_back(workflow.endedAt, workflow.id);
     outcome.changed = true;
     outcome.ended.emplace_back(workflow.id, phase);
