Keep an old order from undoing a later evacuation

A withdrawal waited in a suspended keeper; the operator gave up after a second, withdrew through another keeper and evacuated the domain again; the keeper went on, read the first withdrawal and had it stored. Cause: evacuations took effect in the order of their arrival.

The node that gets an order reads the domain's revision from the leader and sends the order with it (OrderEvacuation, a new command); it has no effect once another order was applied. The node refuses an order whose sender has closed the connection, and any within a second after the process stood still for a second. A node that was suspended relays no requests, and drops submissions and cancellations whose callers have left.

--- a/libs/cluster/include/cluster/cell_links.h
+++ b/libs/cluster/include/cluster/cell_links.h
@@ -10,6 +10,7 @@
 #include <string>
 
 #include <cluster/node_settings.h>
+#include <cluster/pause_detector.h>
 #include <cluster/request_attempts.h>
 #include <link/link.h>
 #include <quorum/quorum.h>
@@ -72,6 +73,8 @@
     std::optional<InstanceId> leader() const;
     /** Returns the address at which the leader accepts the heartbeats of workers. */
     std::optional<Address> leaderReportAddress() const;
+    /** Returns whether this process stood still a moment ago; only known on nodes with a log. */
+    bool pausedRecently() const;
     /** Returns the nodes that this one has a link with. */
     std::set<InstanceId> connectedNodes() const;
     /** Returns a number that rises with each change of connectedNodes(), to tell old copies. */
@@ -153,6 +156,7 @@
     RequestHandler serve;
     Replica *replica = nullptr;
     std::unique_ptr<PeerNetwork> network;
+    PauseDetector pauses;
 
     mutable std::mutex mutex; ///< Guards the members below.
     bool stopped = false;
--- a/libs/cluster/include/cluster/cluster.h
+++ b/libs/cluster/include/cluster/cluster.h
@@ -9,6 +9,7 @@
 #include <cluster/membership_step.h>
 #include <cluster/node_metrics.h>
 #include <cluster/node_settings.h>
+#include <cluster/pause_detector.h>
 #include <cluster/request_attempts.h>
 #include <cluster/requests.h>
 #include <cluster/workflow_log.h>
--- a/libs/cluster/include/cluster/cluster_node.h
+++ b/libs/cluster/include/cluster/cluster_node.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -52,6 +53,18 @@
     std::string metrics() const;
 
 private:
+    // cluster_node_orders.cpp: orders of operators.
+    void callLeader(const OperatorRequest &request, SteadyTime deadline,
+                    std::function<void(Result<OperatorReply>)> done);
+    /** Returns an error if the order may have waited since its sender gave up. */
+    std::optional<Error> checkAge(const OperatorRequest &request) const;
+    /**
+     * Reads the revision of the evacuation and sends the order with it, so that the order has no
+     * effect if it reaches the state after a later one.
+     */
+    void orderEvacuation(const OperatorRequest &request, SteadyTime deadline,
+                         std::function<void(Result<OperatorReply>)> done);
+
     void serve(RequestKind kind, const std::string &request,
                std::function<void(Result<std::string>)> done);
     /** Forwards the collected heartbeats to the leader in one request. */
--- a/libs/cluster/include/cluster/requests.h
+++ b/libs/cluster/include/cluster/requests.h
@@ -29,6 +29,9 @@
     std::string key;
     /** For Submit, an encoded WorkflowSpec. */
     std::string spec;
+    /** Returns whether the caller has gone. Stays on the node that got the request; may be empty.
+     */
+    std::function<bool()> senderLeft = {};
 };
 
 enum class CallerOutcome : std::uint8_t {
@@ -60,6 +63,7 @@
     ReadConfig,
     Evacuate,
     EndEvacuation,
+    ReadEvacuation, ///< The revision of a failure domain's evacuation.
 };
 
 /** A request of an operator. All of them are idempotent. */
@@ -68,6 +72,11 @@
     OperatorAction action = OperatorAction::ReadConfig;
     RoutingConfig config;
     FailureDomainId domain;
+    /** For Evacuate and EndEvacuation: takes effect only if no later order changed the revision. */
+    std::uint64_t expectedRevision = 0;
+    /** Returns whether the sender has gone. Stays on the node that got the request; may be empty.
+     */
+    std::function<bool()> senderLeft = {};
 };
 
 struct OperatorReply
@@ -75,6 +84,8 @@
     bool done = false;
     /** For ReadConfig, the operator's original text; for a refused request, the reason. */
     std::string document;
+    /** For ReadEvacuation. */
+    std::uint64_t revision = 0;
 };
 
 /** A heartbeat or departure notice of a worker. */
--- a/libs/cluster/src/cell_links.cpp
+++ b/libs/cluster/src/cell_links.cpp
@@ -54,6 +54,7 @@
     , settings(initialSettings)
     , ownId(peerId(peerAddress(initialSettings.host, initialSettings.peerPort)))
     , serve(std::move(initialServe))
+    , pauses(initialClock)
 {
     PeerHandlers handlers;
     handlers.onFrame
@@ -195,6 +196,11 @@
         : std::nullopt;
 }
 
+bool CellLinks::pausedRecently() const
+{
+    return this->pauses.pausedRecently();
+}
+
 std::set<InstanceId> CellLinks::connectedNodes() const
 {
     const std::lock_guard lock(this->mutex);
@@ -285,6 +291,7 @@
 void CellLinks::watchExecutor()
 {
     this->linkExecutor.after(watchInterval, [this]() {
+        this->pauses.tick();
         bool stalled = false;
         {
             const std::lock_guard lock(this->mutex);
--- a/libs/cluster/src/cell_requests.cpp
+++ b/libs/cluster/src/cell_requests.cpp
@@ -269,6 +269,12 @@
     const auto kind = static_cast<RequestKind>(frame.front());
     const bool leads = this->replica != nullptr && this->replica->holdsLease();
     if (kind != RequestKind::Advice && !leads && frame[1] == mayRelay) {
+        if (this->pauses.pausedRecently()) {
+            // The sender has repeated what waited here with another node. A copy that reaches the
+            // leader now may undo what the sender has ordered since.
+            reply(std::string{refusalFrame});
+            return;
+        }
         const std::optional<InstanceId> known = this->leader();
         if (known && *known != this->ownId) {
             std::string passedOn = frame;
--- a/libs/cluster/src/cluster_node.cpp
+++ b/libs/cluster/src/cluster_node.cpp
@@ -203,6 +203,15 @@
 void ClusterNode::handle(const CallerRequest &request, std::chrono::milliseconds timeout,
                          std::function<void(CallerReply)> done)
 {
+    if (request.action != CallerAction::Read && request.senderLeft && request.senderLeft()) {
+        // The caller may have cancelled the submission, or learned that it isn't known, since.
+        spdlog::info("event=caller-left path={}", request.path);
+        CallerReply reply;
+        reply.outcome = CallerOutcome::Unavailable;
+        reply.message = "the caller has closed the connection";
+        done(reply);
+        return;
+    }
     this->links.callLeader(
         RequestKind::Caller, encodeRecord(request), this->clock.steadyNow() + timeout,
         [this, action = request.action, path = request.path, requestedAt = this->clock.steadyNow(),
@@ -227,20 +236,6 @@
         });
 }
 
-void ClusterNode::handle(const OperatorRequest &request, std::chrono::milliseconds timeout,
-                         std::function<void(Result<OperatorReply>)> done)
-{
-    this->links.callLeader(
-        RequestKind::Operator, encodeRecord(request), this->clock.steadyNow() + timeout,
-        [this, requestedAt = this->clock.steadyNow(),
-         done = std::move(done)](const LeaderAnswer &answer) {
-            const Result<OperatorReply> result = decodeReply<OperatorReply>(answer);
-            this->nodeMetrics.operatorRequestAnswered(ok(result) && valueOf(result).done,
-                                                      this->clock.steadyNow() - requestedAt);
-            done(result);
-        });
-}
-
 void ClusterNode::handle(const WorkerStatusReport &report, std::chrono::milliseconds timeout,
                          std::function<void(Result<WorkerStatusReply>)> done)
 {
@@ -375,6 +370,11 @@
         spdlog::info("event=evacuation-applied domain={} evacuated={}", evacuation->domain.value,
                      evacuation->evacuated);
         this->dispatcher.configurationChanged();
+    } else if (const auto *const order = std::get_if<OrderEvacuation>(&command)) {
+        spdlog::info("event=evacuation-applied domain={} evacuated={} revision={} in-force={}",
+                     order->domain.value, order->evacuated, order->expectedRevision,
+                     outcome.accepted.front());
+        this->dispatcher.configurationChanged();
     }
 }
 
--- a/libs/cluster/src/cluster_records.h
+++ b/libs/cluster/src/cluster_records.h
@@ -58,13 +58,13 @@
 template<typename Codec>
 void fields(Codec &codec, OperatorRequest &value)
 {
-    codec(value.action, value.config, value.domain);
+    codec(value.action, value.config, value.domain, value.expectedRevision);
 }
 
 template<typename Codec>
 void fields(Codec &codec, OperatorReply &value)
 {
-    codec(value.done, value.document);
+    codec(value.done, value.document, value.revision);
 }
 
 template<typename Codec>
--- a/libs/cluster/src/leader_service.cpp
+++ b/libs/cluster/src/leader_service.cpp
@@ -232,10 +232,32 @@
     case OperatorAction::Evacuate:
     case OperatorAction::EndEvacuation: {
         const bool evacuate = request.action == OperatorAction::Evacuate;
-        spdlog::info("event=evacuation-proposed domain={} evacuate={}", request.domain.value,
-                     evacuate);
-        this->propose(SetEvacuation{.domain = request.domain, .evacuated = evacuate},
-                      std::move(done));
+        spdlog::info("event=evacuation-proposed domain={} evacuate={} revision={}",
+                     request.domain.value, evacuate, request.expectedRevision);
+        this->log.propose(OrderEvacuation{.domain = request.domain,
+                                          .evacuated = evacuate,
+                                          .expectedRevision = request.expectedRevision},
+                          [done = std::move(done)](const Result<CommandOutcome> &result) {
+                              if (!ok(result)) {
+                                  done(errorOf(result));
+                                  return;
+                              }
+                              OperatorReply reply;
+                              reply.done = valueOf(result).accepted.front();
+                              reply.document = reply.done ? "" : "a later order is in force";
+                              done(reply);
+                          });
+        return;
+    }
+    case OperatorAction::ReadEvacuation: {
+        OperatorReply reply;
+        reply.done = true;
+        reply.revision = this->state.evacuationRevision(request.domain);
+        if (this->log.holdsLease()) {
+            done(reply);
+        } else {
+            done(notLeader());
+        }
         return;
     }
     }
--- a/libs/link/include/link/http_message.h
+++ b/libs/link/include/link/http_message.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <string>
+#include <tuple>
 
 #include <base/base.h>
 
@@ -17,8 +19,17 @@
     std::string body;
     /** The remote address, as "host:port". */
     std::string peer;
-
-    bool operator==(const HttpRequest &other) const = default;
+    /**
+     * Returns whether the sender has closed the connection, so that nobody waits for the response.
+     * Set by HttpServer; must not be called once the response was given.
+     */
+    std::function<bool()> senderLeft = {};
+
+    bool operator==(const HttpRequest &other) const
+    {
+        return std::tie(this->method, this->target, this->headers, this->body, this->peer)
+            == std::tie(other.method, other.target, other.headers, other.body, other.peer);
+    }
 };
 
 struct HttpResponse
--- a/libs/link/src/http_server.cpp
+++ b/libs/link/src/http_server.cpp
@@ -8,6 +8,8 @@
 #include <optional>
 #include <set>
 
+#include <sys/socket.h>
+
 #include <boost/asio/bind_executor.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -256,6 +258,7 @@
         }
         request.body = std::move(message.body());
         request.peer = this->peer;
+        request.senderLeft = [self = this->shared_from_this()]() { return self->senderLeft(); };
         // The handler has no timeout here; the caller decides how long it waits.
         this->stream.expires_never();
         const auto responded = std::make_shared<std::atomic<bool>>(false);
@@ -275,6 +278,15 @@
         }
     }
 
+    /** Returns whether the peer has sent its end of the connection, or reset it. */
+    bool senderLeft()
+    {
+        char next = 0;
+        const ssize_t size = ::recv(this->stream.socket().native_handle(), &next, sizeof next,
+                                    MSG_PEEK | MSG_DONTWAIT);
+        return size == 0 || (size < 0 && errno == ECONNRESET);
+    }
+
     void write(const HttpResponse &response)
     {
         this->keepAlive = this->keepAlive && !this->server->isDraining();
--- a/libs/workflow/include/workflow/command.h
+++ b/libs/workflow/include/workflow/command.h
@@ -106,13 +106,28 @@
     WorkflowId id;
 };
 
-/** Takes a failure domain out of service, or puts it back into service. */
+/**
+ * Takes a failure domain out of service, or puts it back into service, whatever was ordered before.
+ * Only in logs of earlier versions; see OrderEvacuation.
+ */
 struct SetEvacuation
 {
     FailureDomainId domain;
     bool evacuated = false;
 };
 
+/**
+ * The same if no other order for the domain was applied since its sender read the revision, which
+ * counts these orders. So an order that was delayed can't undo a later one. An order for what is in
+ * force anyway is accepted, since it may be a copy of one that was applied.
+ */
+struct OrderEvacuation
+{
+    FailureDomainId domain;
+    bool evacuated = false;
+    std::uint64_t expectedRevision = 0;
+};
+
 /** Registers a worker or updates its record. Delayed announcements have no effect. */
 struct AnnounceWorker
 {
@@ -125,8 +140,9 @@
     WorkerIncarnation incarnation;
 };
 
-using WorkflowCommand = std::variant<PutConfig, AcceptWorkflow, AssignRuns, EndRuns, CancelWorkflow,
-                                     SetEvacuation, AnnounceWorker, ForgetWorker, RecordStarts>;
+using WorkflowCommand
+    = std::variant<PutConfig, AcceptWorkflow, AssignRuns, EndRuns, CancelWorkflow, SetEvacuation,
+                   AnnounceWorker, ForgetWorker, RecordStarts, OrderEvacuation>;
 
 /** A command with the node that proposed it and the cell time of the proposal. */
 struct ProposedCommand
--- a/libs/workflow/include/workflow/records.h
+++ b/libs/workflow/include/workflow/records.h
@@ -122,6 +122,12 @@
     codec(value.domain, value.evacuated);
 }
 
+template<typename Codec>
+void fields(Codec &codec, OrderEvacuation &value)
+{
+    codec(value.domain, value.evacuated, value.expectedRevision);
+}
+
 template<typename Codec>
 void fields(Codec &codec, AnnounceWorker &value)
 {
@@ -192,9 +198,10 @@
 {
     /**
      * Version 1 has no retired queues and customers. Up to version 2, a workflow is running from
-     * its first assignment on. Up to version 3, the state of ended occurrences is kept whole.
+     * its first assignment on. Up to version 3, the state of ended occurrences is kept whole. Up to
+     * version 4, orders for evacuations have no revision.
      */
-    std::uint32_t version = 4;
+    std::uint32_t version = 5;
     CellTime now;
     std::optional<RoutingConfig> config;
     std::set<FailureDomainId> evacuated;
@@ -204,6 +211,7 @@
     std::vector<RetiredCustomer> retiredCustomers;
     /** Of workflows with a timetable that have not ended. */
     std::map<WorkflowId, OccurrenceSet> endedOccurrences;
+    std::map<FailureDomainId, std::uint64_t> evacuationRevisions;
 };
 
 template<typename Codec>
@@ -216,6 +224,9 @@
     if (value.version >= 4) {
         codec(value.endedOccurrences);
     }
+    if (value.version >= 5) {
+        codec(value.evacuationRevisions);
+    }
 }
 
 } // namespace gooseberry
--- a/libs/workflow/include/workflow/workflow_state.h
+++ b/libs/workflow/include/workflow/workflow_state.h
@@ -83,7 +83,10 @@
     bool changed = false;
     /** For AcceptWorkflow and CancelWorkflow: whether the workflow is known. */
     bool known = false;
-    /** For AssignRuns and EndRuns: one entry for each run or end of the command. */
+    /**
+     * For AssignRuns and EndRuns: one entry for each run or end of the command. For
+     * OrderEvacuation: one entry, whether what it orders is in force.
+     */
     std::vector<bool> accepted;
     /** Workflows that this command ended. */
     std::vector<std::pair<WorkflowId, WorkflowPhase>> ended;
@@ -119,6 +122,8 @@
      */
     std::size_t queuedCount(const std::string &queue) const;
     std::set<FailureDomainId> evacuated() const;
+    /** Returns the number of orders for the domain's evacuation that were applied. */
+    std::uint64_t evacuationRevision(const FailureDomainId &domain) const;
     std::map<InstanceId, WorkerRecord> workers() const;
     std::optional<WorkerRecord> worker(const InstanceId &id) const;
     /** Returns the highest time of the commands applied so far. */
@@ -148,6 +153,7 @@
     CommandOutcome execute(const EndRuns &command);
     CommandOutcome execute(const CancelWorkflow &command);
     CommandOutcome execute(const SetEvacuation &command);
+    CommandOutcome execute(const OrderEvacuation &command);
     CommandOutcome execute(const AnnounceWorker &command);
     CommandOutcome execute(const ForgetWorker &command);
     CommandOutcome execute(const RecordStarts &command);
@@ -177,6 +183,7 @@
     mutable std::mutex cellMutex; ///< Guards the members below.
     std::shared_ptr<const RulesInForce> rulesInForce;
     std::set<FailureDomainId> evacuatedDomains;
+    std::map<FailureDomainId, std::uint64_t> evacuationRevisions;
     std::map<InstanceId, WorkerRecord> knownWorkers;
     CellTime now;
 };
--- a/libs/workflow/src/workflow_snapshot.cpp
+++ b/libs/workflow/src/workflow_snapshot.cpp
@@ -59,6 +59,7 @@
         const std::lock_guard lock(this->cellMutex);
         stored.now = this->now;
         stored.evacuated = this->evacuatedDomains;
+        stored.evacuationRevisions = this->evacuationRevisions;
         stored.workers = this->knownWorkers;
         if (this->rulesInForce != nullptr) {
             stored.config = *this->rulesInForce->config;
@@ -94,6 +95,7 @@
         const std::lock_guard lock(this->cellMutex);
         this->now = stored.now;
         this->evacuatedDomains = std::move(stored.evacuated);
+        this->evacuationRevisions = std::move(stored.evacuationRevisions);
         this->knownWorkers = std::move(stored.workers);
         this->rulesInForce = nullptr;
         if (stored.config) {
--- a/libs/workflow/src/workflow_state.cpp
+++ b/libs/workflow/src/workflow_state.cpp
@@ -325,11 +325,29 @@
 {
     const std::lock_guard lock(this->cellMutex);
     CommandOutcome outcome;
+    ++this->evacuationRevisions[command.domain];
     outcome.changed = command.evacuated ? this->evacuatedDomains.insert(command.domain).second
                                         : this->evacuatedDomains.erase(command.domain) > 0;
     return outcome;
 }
 
+CommandOutcome WorkflowState::execute(const OrderEvacuation &command)
+{
+    {
+        const std::lock_guard lock(this->cellMutex);
+        const bool inForce = this->evacuatedDomains.contains(command.domain) == command.evacuated;
+        if (this->evacuationRevisions[command.domain] != command.expectedRevision) {
+            CommandOutcome outcome;
+            outcome.accepted.push_back(inForce);
+            return outcome;
+        }
+    }
+    CommandOutcome outcome
+        = this->execute(SetEvacuation{.domain = command.domain, .evacuated = command.evacuated});
+    outcome.accepted.push_back(true);
+    return outcome;
+}
+
 CommandOutcome WorkflowState::execute(const AnnounceWorker &command)
 {
     const std::lock_guard lock(this->cellMutex);
@@ -419,6 +437,13 @@
     return this->evacuatedDomains;
 }
 
+std::uint64_t WorkflowState::evacuationRevision(const FailureDomainId &domain) const
+{
+    const std::lock_guard lock(this->cellMutex);
+    const auto found = this->evacuationRevisions.find(domain);
+    return found == this->evacuationRevisions.end() ? 0 : found->second;
+}
+
 std::map<InstanceId, WorkerRecord> WorkflowState::workers() const
 {
     const std::lock_guard lock(this->cellMutex);
