Reckon with the longest lease of a worker that restarted a short time ago

A renewal or start that was meant for a worker's earlier incarnation reached the next one before the leader knew of the restart. Its lease end was a time on the earlier clock, so the worker cut it down to the longest lease that it accepts, 10 s on that site. The next leader reckoned with the usual 4.5 s and started the task again while the worker, cut off, went on.

A stored run that its worker doesn't list is sent to it again by the new leader, as the earlier one's start may be delayed.

--- a/libs/dispatch/include/dispatch/live_workflow.h
+++ b/libs/dispatch/include/dispatch/live_workflow.h
@@ -29,6 +29,8 @@
     RunNumber number;
     RunPhase phase = RunPhase::Proposed;
     InstanceId worker;
+    /** The incarnation of the worker that starts of the run were sent to, or that has listed it. */
+    WorkerIncarnation incarnation;
     /** When the phase began. */
     SteadyTime since;
     /**
@@ -48,8 +50,9 @@
     std::optional<SteadyTime> ticketExpiresBy;
     /** When the ticket is no longer used for a start. */
     SteadyTime ticketUsableUntil;
+    /** Starts that this leader has sent. */
     std::uint32_t startsSent = 0;
-    /** Starts among them without an answer. */
+    /** Starts without an answer, including one that an earlier leader may have sent. */
     std::uint32_t unansweredStarts = 0;
     /** Until then, one of these may be carried out, also by a later incarnation of the worker. */
     SteadyTime startMayArriveUntil;
--- a/libs/dispatch/include/dispatch/upstream_scheduler.h
+++ b/libs/dispatch/include/dispatch/upstream_scheduler.h
@@ -166,7 +166,10 @@
      * orders to this worker, so nothing of it executes or can begin any more.
      */
     void releaseReplacedWorker(UpstreamWorker &worker, Effects &effects);
-    /** Notes that the worker refuses the starts that its earlier incarnations got. */
+    /**
+     * Notes that the worker refuses the orders that its earlier incarnations got, and those of
+     * earlier leaders.
+     */
     void confirmFence(UpstreamWorker &worker);
     /** Updates the run from the worker's report. Returns false if the scheduler has no such run. */
     bool recordReportedRun(UpstreamWorker &worker, const RunningEntry &entry);
@@ -195,6 +198,12 @@
     /** Releases runs that are absent from the report and can no longer start. */
     void releaseUnreportedRuns(UpstreamWorker &worker, const LeaseRenewalReply &reply,
                                SteadyTime sentAt, Effects &effects);
+    /**
+     * Returns whether this leader may send the start of a run that an earlier leader has stored,
+     * and that the worker doesn't list. If the earlier leader has sent it as well, the worker's
+     * next incarnation might carry that out while the task runs elsewhere.
+     */
+    bool maySendRecoveredStart(const TaskKey &key, const UpstreamWorker &worker);
     /** Releases the worker's runs if it is replaced or every lease that it may hold has expired. */
     void releaseRunsOfExpiredLeases(UpstreamWorker &worker, Effects &effects);
     /** Releases runs whose lease has expired, removes lost workers and repeats stops. */
--- a/libs/dispatch/include/dispatch/upstream_worker.h
+++ b/libs/dispatch/include/dispatch/upstream_worker.h
@@ -76,6 +76,8 @@
      * earlier incarnations and all orders of earlier leaders, so it refuses these.
      */
     bool fenceConfirmed = false;
+    /** The present incarnation followed another one, and an order to that may have reached it. */
+    bool hasRestarted = false;
     /** Restarts of the worker that this leader has learned of; part of its fencing token. */
     std::uint32_t restarts = 0;
     /**
@@ -109,6 +111,29 @@
  */
 SteadyTime latestExpiryOf(std::chrono::milliseconds lease, SteadyTime now);
 
+/** A worker's first answer to an order that has a higher fencing token than all earlier ones. */
+struct FenceConfirmation
+{
+    /** By the replicated state, how long ago, at least, the incarnation followed another one. */
+    std::optional<std::chrono::milliseconds> timeSinceRestart;
+    SteadyTime at;
+    SteadyTime termBegan;
+    /** The same, learned in this term. */
+    bool hasRestarted = false;
+    /** The lease that leaders grant. */
+    std::chrono::milliseconds usualLease;
+    /** The longest one that workers accept. */
+    std::chrono::milliseconds longestLease;
+};
+
+/**
+ * Returns the local time by which every lease has expired that the worker had from orders with
+ * lower tokens. Such an order may have been meant for an earlier incarnation: its lease end, a time
+ * on that one's clock, may be far ahead, and the worker then cuts it down to the longest lease. An
+ * incarnation that began longer ago than orders are delayed and leases last has none of these.
+ */
+SteadyTime earlierLeasesExpiry(const FenceConfirmation &confirmation);
+
 /** Returns the local time by which every lease that the worker may hold has expired. */
 SteadyTime lastLeaseExpiry(const UpstreamWorker &worker);
 
--- a/libs/dispatch/src/upstream_scheduler.cpp
+++ b/libs/dispatch/src/upstream_scheduler.cpp
@@ -203,18 +203,17 @@
     run.number = stored.run;
     run.phase = RunPhase::Recovered;
     run.worker = stored.worker;
+    run.incarnation = stored.incarnation;
     run.since = this->context.clock.steadyNow();
+    run.unansweredStarts = 1;
+    run.startMayArriveUntil = this->recoveredStartArrival(workflow);
     run.checkpoint = stored.checkpoint;
     step.tasks[key.index].run = run;
     --step.waiting;
     ++workflow.activeRuns;
     const StepSpec &spec = workflow.spec->steps[key.step];
     this->context.ledger->reserve(workflow.customer, spec.size);
-    UpstreamWorker &worker = this->recoveredWorker(stored);
-    if (worker.record.incarnation != stored.incarnation) {
-        step.tasks[key.index].run->startMayArriveUntil = this->recoveredStartArrival(workflow);
-    }
-    this->reserve(worker, key, spec, stored.run);
+    this->reserve(this->recoveredWorker(stored), key, spec, stored.run);
 }
 
 void UpstreamScheduler::stopWorkflow(const WorkflowId &id)
--- a/libs/dispatch/src/upstream_scheduler_placement.cpp
+++ b/libs/dispatch/src/upstream_scheduler_placement.cpp
@@ -411,6 +411,7 @@
     LiveRun live;
     live.number = run;
     live.worker = worker.record.id;
+    live.incarnation = worker.record.incarnation;
     live.since = pass.now;
     const auto allowed
         = std::find_if(step.allowed.begin(), step.allowed.end(),
--- a/libs/dispatch/src/upstream_scheduler_release.cpp
+++ b/libs/dispatch/src/upstream_scheduler_release.cpp
@@ -28,6 +28,12 @@
     if (worker != this->workers.end()) {
         evidence.replaced = worker->second.replaced;
         evidence.leasesExpireBy = lastLeaseExpiry(worker->second) + leaseExpiryMargin;
+        // An earlier leader's start that was both unanswered and delayed is not assumed for every
+        // run on a silent worker without a known restart: all of them would wait for it.
+        const bool restartKnown = run.incarnation != worker->second.record.incarnation;
+        if (run.startsSent == 0 && !run.absent && !restartKnown) {
+            evidence.startMayArriveUntil = SteadyTime{};
+        }
     }
     return evidence;
 }
@@ -124,12 +130,25 @@
         const bool absent = (run.phase == RunPhase::Running && run.since < sentAt)
             || run.phase == RunPhase::Recovered
             || (run.phase == RunPhase::OutcomeUnknown && stopped);
-        if (absent) {
+        if (absent && run.phase == RunPhase::Recovered
+            && this->maySendRecoveredStart(key, worker)) {
+            this->sendStart(key, *task, effects);
+        } else if (absent) {
             this->releaseAbsentRun(key, "not-listed", effects);
         }
     }
 }
 
+bool UpstreamScheduler::maySendRecoveredStart(const TaskKey &key, const UpstreamWorker &worker)
+{
+    LiveWorkflow *workflow = nullptr;
+    const LiveTask *task = this->findTask(key, &workflow);
+    const bool needsTicket = workflow->queueRule != nullptr && workflow->queueRule->advice;
+    return !workflow->ended && !needsTicket && task->run->incarnation == worker.record.incarnation
+        && this->isUsable(worker, this->context.clock.steadyNow())
+        && this->mayRepeatStart(*task->run, worker, workflow->spec->steps[key.step]);
+}
+
 void UpstreamScheduler::releaseRunsOfExpiredLeases(UpstreamWorker &worker, Effects &effects)
 {
     if (!worker.replaced
--- a/libs/dispatch/src/upstream_scheduler_workers.cpp
+++ b/libs/dispatch/src/upstream_scheduler_workers.cpp
@@ -28,8 +28,10 @@
     worker.record = record;
     worker.slot = ++this->lastSlotNumber;
     worker.lastContact = this->context.clock.steadyNow();
-    // An earlier leader may have granted a lease just before this term began.
-    worker.earlierLeasesExpireBy = latestExpiryOf(this->settings.workerLease, worker.lastContact);
+    // An earlier leader may have granted a lease just before this term began. Nothing tells whether
+    // the worker has restarted since, so that the lease ends on another clock, until it answers.
+    worker.earlierLeasesExpireBy
+        = latestExpiryOf(this->settings.longestWorkerLease, worker.lastContact);
     for (auto &[id, other] : this->workers) {
         worker.replaced = worker.replaced || isReplacedBy(record, other.record);
         other.replaced = other.replaced || isReplacedBy(other.record, record);
@@ -58,6 +60,7 @@
 
 void UpstreamScheduler::expectEarlierOrders(UpstreamWorker &worker) const
 {
+    worker.hasRestarted = true;
     // The lease end in such an order is far ahead on the clock of the later incarnation.
     worker.earlierLeasesExpireBy = std::max(
         worker.earlierLeasesExpireBy,
@@ -77,6 +80,7 @@
             const auto removed = this->removedWorkers.find(record.id);
             if (added && removed != this->removedWorkers.end()) {
                 worker.restarts = removed->second.restarts + 1;
+                worker.hasRestarted = true;
             }
         }
         worker.record = record;
@@ -111,6 +115,7 @@
 {
     const SteadyTime now = this->context.clock.steadyNow();
     const std::map<TaskKey, RunNumber> runs = worker.runs;
+    worker.hasRestarted = !worker.record.id.value.empty();
     worker.record = record;
     worker.slot = ++this->lastSlotNumber;
     this->clearOrphanedRuns(worker);
@@ -129,8 +134,7 @@
     worker.renewalInFlight = false;
     worker.avoidUntil = now;
     for (const auto &[key, number] : runs) {
-        LiveWorkflow *workflow = nullptr;
-        LiveTask *task = this->findTask(key, &workflow);
+        LiveTask *task = this->findTask(key);
         if (task == nullptr || !task->run || task->run->phase == RunPhase::Ending) {
             continue;
         }
@@ -138,13 +142,9 @@
         if (run.phase == RunPhase::Proposed) {
             continue;
         }
-        if (run.startsSent == 0) {
-            // An earlier leader sent the start, perhaps more than once.
-            run.startMayArriveUntil = this->recoveredStartArrival(*workflow);
-        }
         // The answer to a start does not tell which incarnation of the worker gave it.
-        const bool endedBefore = run.reported
-            && ((run.startsSent > 0 && run.unansweredStarts == 0) || now > run.startMayArriveUntil);
+        const bool endedBefore
+            = run.reported && (run.unansweredStarts == 0 || now > run.startMayArriveUntil);
         run.reported = false;
         run.absent = false;
         if (endedBefore) {
@@ -351,9 +351,17 @@
         return;
     }
     worker.fenceConfirmed = true;
+    worker.earlierLeasesExpireBy = earlierLeasesExpiry(FenceConfirmation{
+        .timeSinceRestart
+        = this->context.state.timeSinceRestart(worker.record.id, worker.record.incarnation),
+        .at = this->context.clock.steadyNow(),
+        .termBegan = this->termBegan,
+        .hasRestarted = worker.hasRestarted,
+        .usualLease = this->settings.workerLease,
+        .longestLease = this->settings.longestWorkerLease});
     for (const auto &[key, number] : worker.runs) {
         LiveTask *task = this->findTask(key);
-        if (task != nullptr && task->run && task->run->phase == RunPhase::Recovered) {
+        if (task != nullptr && task->run && task->run->incarnation != worker.record.incarnation) {
             task->run->unansweredStarts = 0;
             task->run->startMayArriveUntil = SteadyTime{};
         }
@@ -373,6 +381,7 @@
     }
     LiveRun &run = *task->run;
     run.reported = true;
+    run.incarnation = worker.record.incarnation;
     if (run.absent) {
         run.absent = false;
         run.stopAnsweredAt.reset();
--- a/libs/dispatch/src/upstream_worker.cpp
+++ b/libs/dispatch/src/upstream_worker.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <dispatch/run_evidence.h>
+
 namespace gooseberry {
 
 namespace {
@@ -41,6 +43,15 @@
     return now + std::chrono::duration_cast<Duration>(length / (1.0 - maxWorkerClockLag));
 }
 
+SteadyTime earlierLeasesExpiry(const FenceConfirmation &confirmation)
+{
+    const bool mayHoldEarlierLease = confirmation.hasRestarted
+        || (confirmation.timeSinceRestart
+            && *confirmation.timeSinceRestart < maxOrderDelay + confirmation.longestLease);
+    return mayHoldEarlierLease ? latestExpiryOf(confirmation.longestLease, confirmation.at)
+                               : latestExpiryOf(confirmation.usualLease, confirmation.termBegan);
+}
+
 SteadyTime lastLeaseExpiry(const UpstreamWorker &worker)
 {
     return std::max(worker.leaseExpiresBy, worker.earlierLeasesExpireBy);
--- a/libs/dispatch/test/recovery_test.cpp
+++ b/libs/dispatch/test/recovery_test.cpp
@@ -128,6 +128,55 @@
 
 BOOST_AUTO_TEST_SUITE(EarlierLeaseTest)
 
+// Guards against a second run on a worker that had restarted just before the change of leader: a
+// renewal for its earlier incarnation gave it the longest lease, and it never answers the new
+// leader.
+BOOST_AUTO_TEST_CASE(WaitsForTheLongestLeaseOfAWorkerThatDoesNotAnswerTheNewLeader)
+{
+    DispatchFixture cell(2);
+    for (auto &[id, worker] : cell.workers.workers) {
+        worker.lastEnd = 0;
+        worker.fence = FencingToken(0);
+        cell.announce(id, [](WorkerRecord &record) { record.incarnation += 5s; });
+    }
+    cell.submit("a", {DispatchFixture::step(1)});
+    cell.run(300ms);
+    FakeWorker *holder = nullptr;
+    for (auto &[id, worker] : cell.workers.workers) {
+        holder = worker.running.empty() ? holder : &worker;
+    }
+    BOOST_REQUIRE(holder != nullptr);
+    holder->unresponsive = true;
+    cell.changeLeader();
+    cell.run(5900ms);
+    BOOST_TEST(cell.workers.violations.empty());
+    BOOST_TEST(cell.workers.runningTasks() == 1U);
+    holder->running.clear();
+    cell.run(1000ms);
+    BOOST_TEST(cell.workers.runningTasks() == 1U);
+}
+
+// Guards against the usual lease being assumed for a worker that answers the new leader, if it
+// began a moment ago or is known to have restarted.
+BOOST_AUTO_TEST_CASE(AssumesTheLongestLeaseOfAWorkerThatMayHaveHadOrdersForAnEarlierIncarnation)
+{
+    FenceConfirmation confirmation{.timeSinceRestart = 20s,
+                                   .at = SteadyTime(100s),
+                                   .termBegan = SteadyTime(99s),
+                                   .hasRestarted = false,
+                                   .usualLease = 4500ms,
+                                   .longestLease = 10'000ms};
+    BOOST_TEST((earlierLeasesExpiry(confirmation) >= SteadyTime(110s)));
+    confirmation.timeSinceRestart = 30s;
+    BOOST_TEST((earlierLeasesExpiry(confirmation) >= SteadyTime(103'500ms)));
+    BOOST_TEST((earlierLeasesExpiry(confirmation) < SteadyTime(104s)));
+    confirmation.hasRestarted = true;
+    BOOST_TEST((earlierLeasesExpiry(confirmation) >= SteadyTime(110s)));
+    confirmation.hasRestarted = false;
+    confirmation.timeSinceRestart.reset();
+    BOOST_TEST((earlierLeasesExpiry(confirmation) < SteadyTime(104s)));
+}
+
 // Guards against a second run while a lease of an earlier leader goes on: the new one computed its
 // own first lease from a heartbeat that was seconds old, and then took the end of that lease, which
 // was in the past on the worker's clock, for the end of all leases.
--- a/libs/workflow/include/workflow/records.h
+++ b/libs/workflow/include/workflow/records.h
@@ -199,9 +199,10 @@
     /**
      * Version 1 has no retired queues and customers. Up to version 2, a workflow is running from
      * its first assignment on. Up to version 3, the state of ended occurrences is kept whole. Up to
-     * version 4, orders for evacuations have no revision.
+     * version 4, orders for evacuations have no revision. Up to version 5, nothing tells when
+     * workers were announced.
      */
-    std::uint32_t version = 5;
+    std::uint32_t version = 6;
     CellTime now;
     std::optional<RoutingConfig> config;
     std::set<FailureDomainId> evacuated;
@@ -212,6 +213,7 @@
     /** Of workflows with a timetable that have not ended. */
     std::map<WorkflowId, OccurrenceSet> endedOccurrences;
     std::map<FailureDomainId, std::uint64_t> evacuationRevisions;
+    std::map<InstanceId, CellTime> restartedAt;
 };
 
 template<typename Codec>
@@ -227,6 +229,9 @@
     if (value.version >= 5) {
         codec(value.evacuationRevisions);
     }
+    if (value.version >= 6) {
+        codec(value.restartedAt);
+    }
 }
 
 } // namespace gooseberry
--- a/libs/workflow/include/workflow/workflow_state.h
+++ b/libs/workflow/include/workflow/workflow_state.h
@@ -126,6 +126,12 @@
     std::uint64_t evacuationRevision(const FailureDomainId &domain) const;
     std::map<InstanceId, WorkerRecord> workers() const;
     std::optional<WorkerRecord> worker(const InstanceId &id) const;
+    /**
+     * Returns how long ago, at least, this incarnation of the worker was announced in place of
+     * another one under the same id. Not set if no other one is known.
+     */
+    std::optional<std::chrono::milliseconds> timeSinceRestart(const InstanceId &id,
+                                                              WorkerIncarnation incarnation) const;
     /** Returns the highest time of the commands applied so far. */
     CellTime time() const;
     /** Calls visit for every workflow that has not ended, under its shard's lock. */
@@ -185,6 +191,11 @@
     std::set<FailureDomainId> evacuatedDomains;
     std::map<FailureDomainId, std::uint64_t> evacuationRevisions;
     std::map<InstanceId, WorkerRecord> knownWorkers;
+    /**
+     * When the known incarnation of a worker took the place of another one under its id, and when
+     * workers were removed that may return under their ids.
+     */
+    std::map<InstanceId, CellTime> restartedAt;
     CellTime now;
 };
 
--- a/libs/workflow/src/workflow_snapshot.cpp
+++ b/libs/workflow/src/workflow_snapshot.cpp
@@ -60,6 +60,7 @@
         stored.now = this->now;
         stored.evacuated = this->evacuatedDomains;
         stored.evacuationRevisions = this->evacuationRevisions;
+        stored.restartedAt = this->restartedAt;
         stored.workers = this->knownWorkers;
         if (this->rulesInForce != nullptr) {
             stored.config = *this->rulesInForce->config;
@@ -96,6 +97,7 @@
         this->now = stored.now;
         this->evacuatedDomains = std::move(stored.evacuated);
         this->evacuationRevisions = std::move(stored.evacuationRevisions);
+        this->restartedAt = std::move(stored.restartedAt);
         this->knownWorkers = std::move(stored.workers);
         this->rulesInForce = nullptr;
         if (stored.config) {
--- a/libs/workflow/src/workflow_state.cpp
+++ b/libs/workflow/src/workflow_state.cpp
@@ -45,6 +45,9 @@
     return {.step = &found->second[key.step], .spec = &workflow.spec->steps[key.step]};
 }
 
+/** How long a removed worker is remembered; longer than orders to it may be delayed. */
+constexpr std::chrono::minutes removedWorkerRetention{1};
+
 } // namespace
 
 bool isDone(const OccurrenceState &occurrence)
@@ -354,6 +357,10 @@
     CommandOutcome outcome;
     const auto [found, added] = this->knownWorkers.try_emplace(command.worker.id, command.worker);
     outcome.changed = added;
+    if (added ? this->restartedAt.contains(command.worker.id)
+              : command.worker.incarnation > found->second.incarnation) {
+        this->restartedAt[command.worker.id] = this->now;
+    }
     // Announcements can arrive out of order; one from an earlier incarnation is ignored.
     const bool late = command.worker.incarnation < found->second.incarnation
         || (command.worker.incarnation == found->second.incarnation
@@ -372,6 +379,11 @@
     const auto found = this->knownWorkers.find(command.id);
     if (found != this->knownWorkers.end() && found->second.incarnation == command.incarnation) {
         this->knownWorkers.erase(found);
+        std::erase_if(this->restartedAt, [this](const auto &entry) {
+            return !this->knownWorkers.contains(entry.first)
+                && entry.second < this->now - removedWorkerRetention;
+        });
+        this->restartedAt[command.id] = this->now;
         outcome.changed = true;
     }
     return outcome;
@@ -457,6 +469,19 @@
     return found == this->knownWorkers.end() ? std::nullopt : std::optional(found->second);
 }
 
+std::optional<std::chrono::milliseconds>
+WorkflowState::timeSinceRestart(const InstanceId &id, WorkerIncarnation incarnation) const
+{
+    const std::lock_guard lock(this->cellMutex);
+    const auto worker = this->knownWorkers.find(id);
+    const auto restarted = this->restartedAt.find(id);
+    if (worker == this->knownWorkers.end() || restarted == this->restartedAt.end()
+        || worker->second.incarnation != incarnation) {
+        return std::nullopt;
+    }
+    return this->now - restarted->second;
+}
+
 CellTime WorkflowState::time() const
 {
     const std::lock_guard lock(this->cellMutex);
