Count the runs of cancelled workflows under a new leader

Cause: the replicated state dropped the assignments of a workflow when it was cancelled or failed, so its runs counted only once their workers had reported them.

The state keeps the occurrences with assigned tasks while the workflow is remembered; a new leader recovers these runs, counts them and stops them.

--- a/libs/dispatch/src/dispatcher.cpp
+++ b/libs/dispatch/src/dispatcher.cpp
@@ -54,8 +54,9 @@
         // Copied before the schedulers are called: each takes its own lock and reads the state
         // under it.
         std::vector<WorkflowRecord> workflows;
-        this->state.visitLiveWorkflows(
-            [&](const WorkflowRecord &workflow) { workflows.push_back(workflow); });
+        const auto copy = [&](const WorkflowRecord &workflow) { workflows.push_back(workflow); };
+        this->state.visitLiveWorkflows(copy);
+        this->state.visitEndedWorkflowsWithRuns(copy);
         for (const WorkflowRecord &workflow : workflows) {
             this->createScheduler(workflow.upstream)->recoverWorkflow(workflow);
         }
--- a/libs/dispatch/src/upstream_scheduler.cpp
+++ b/libs/dispatch/src/upstream_scheduler.cpp
@@ -65,11 +65,28 @@
     // can't run here.
     this->context.schedule(Duration::zero(), [weak = this->weak_from_this()]() {
         if (const auto self = weak.lock()) {
+            self->stopEndedWorkflows();
             self->tick();
         }
     });
 }
 
+void UpstreamScheduler::stopEndedWorkflows()
+{
+    std::vector<WorkflowId> ended;
+    {
+        const std::lock_guard lock(this->mutex);
+        for (const auto &[id, workflow] : this->workflows) {
+            if (workflow.ended) {
+                ended.push_back(id);
+            }
+        }
+    }
+    for (const WorkflowId &id : ended) {
+        this->stopWorkflow(id);
+    }
+}
+
 void UpstreamScheduler::close()
 {
     const std::lock_guard lock(this->mutex);
@@ -157,6 +174,7 @@
 {
     const std::lock_guard lock(this->mutex);
     LiveWorkflow &live = this->createWorkflow(workflow);
+    live.ended = !isLive(workflow.phase);
     for (const auto &[number, stored] : workflow.occurrences) {
         this->recoverOccurrence(live, number, stored);
     }
--- a/libs/dispatch/src/upstream_scheduler_release.cpp
+++ b/libs/dispatch/src/upstream_scheduler_release.cpp
@@ -70,11 +70,16 @@
 
 void UpstreamScheduler::releaseAbsentRun(const TaskKey &key, const char *reason, Effects &effects)
 {
-    LiveTask *task = this->findTask(key);
+    LiveWorkflow *workflow = nullptr;
+    LiveTask *task = this->findTask(key, &workflow);
     if (task == nullptr || !task->run) {
         return;
     }
     task->run->absent = true;
+    if (workflow->ended) {
+        // The task does not run again, so a start that is carried out late runs beside no other.
+        task->run->startMayArriveUntil = SteadyTime{};
+    }
     if (this->releaseIfOver(key, reason, effects) || this->heldRuns.contains(key)) {
         return;
     }
--- a/libs/workflow/include/workflow/workflow_state.h
+++ b/libs/workflow/include/workflow/workflow_state.h
@@ -70,7 +70,11 @@
     WorkflowPhase phase = WorkflowPhase::Queued;
     CellTime endedAt;
     std::shared_ptr<const WorkflowSpec> spec;
-    /** By occurrence number. An occurrence without an entry has not started or has ended. */
+    /**
+     * By occurrence number. An occurrence without an entry has not started or has ended. Those with
+     * assigned tasks are kept when the workflow is cancelled or fails: its runs may go on until a
+     * worker has stopped them.
+     */
     std::map<std::uint32_t, OccurrenceState> occurrences;
     OccurrenceSet endedOccurrences;
     std::uint32_t occurrencesDone = 0;
@@ -136,6 +140,9 @@
     CellTime time() const;
     /** Calls visit for every workflow that has not ended, under its shard's lock. */
     void visitLiveWorkflows(const std::function<void(const WorkflowRecord &)> &visit) const;
+    /** The same for every workflow that has ended and may still have runs. */
+    void
+    visitEndedWorkflowsWithRuns(const std::function<void(const WorkflowRecord &)> &visit) const;
     /** Calls visit for the workflow, if it is known, under its shard's lock. */
     void visitWorkflow(const WorkflowId &id,
                        const std::function<void(const WorkflowRecord &)> &visit) const;
@@ -180,6 +187,7 @@
                       const RunEnd &end);
     void endWorkflow(Shard &shard, WorkflowRecord &workflow, WorkflowPhase phase,
                      CommandOutcome &outcome);
+    void visitWorkflows(const std::function<void(const WorkflowRecord &)> &visit) const;
     /** Removes workflows that ended longer ago than the retention time. */
     void removeExpired(Shard &shard);
 
--- a/libs/workflow/src/workflow_state.cpp
+++ b/libs/workflow/src/workflow_state.cpp
@@ -20,6 +20,15 @@
     return occurrence;
 }
 
+bool hasAssignedTasks(const OccurrenceState &occurrence)
+{
+    return std::any_of(occurrence.begin(), occurrence.end(), [](const StepState &step) {
+        return std::any_of(step.tasks.begin(), step.tasks.end(), [](const StoredTask &task) {
+            return task.phase == StoredTaskPhase::Assigned;
+        });
+    });
+}
+
 /** The step that a task belongs to; null pointers if the workflow has no such task. */
 struct FoundTask
 {
@@ -304,7 +313,8 @@
     }
     workflow.phase = phase;
     workflow.endedAt = this->time();
-    workflow.occurrences.clear();
+    std::erase_if(workflow.occurrences,
+                  [](const auto &entry) { return !hasAssignedTasks(entry.second); });
     workflow.endedOccurrences = {};
     shard.ended.emplace_back(workflow.endedAt, workflow.id);
     outcome.changed = true;
@@ -488,19 +498,36 @@
     return this->now;
 }
 
-void WorkflowState::visitLiveWorkflows(
-    const std::function<void(const WorkflowRecord &)> &visit) const
+void WorkflowState::visitWorkflows(const std::function<void(const WorkflowRecord &)> &visit) const
 {
     for (const Shard &shard : this->shards) {
         const std::lock_guard lock(shard.mutex);
         for (const auto &[id, workflow] : shard.workflows) {
-            if (isLive(workflow.phase)) {
-                visit(workflow);
-            }
+            visit(workflow);
         }
     }
 }
 
+void WorkflowState::visitLiveWorkflows(
+    const std::function<void(const WorkflowRecord &)> &visit) const
+{
+    this->visitWorkflows([&visit](const WorkflowRecord &workflow) {
+        if (isLive(workflow.phase)) {
+            visit(workflow);
+        }
+    });
+}
+
+void WorkflowState::visitEndedWorkflowsWithRuns(
+    const std::function<void(const WorkflowRecord &)> &visit) const
+{
+    this->visitWorkflows([&visit](const WorkflowRecord &workflow) {
+        if (!isLive(workflow.phase) && !workflow.occurrences.empty()) {
+            visit(workflow);
+        }
+    });
+}
+
 void WorkflowState::visitWorkflow(const WorkflowId &id,
                                   const std::function<void(const WorkflowRecord &)> &visit) const
 {
