Ask for further workers when the allowed ones have their share of a step

Its step allows one task a worker; workers that already had one counted as room for another, so the adviser was not asked about the worker that had restarted. StepTasks counts the step's tasks on each worker for all decisions on room.

--- a/libs/dispatch/src/upstream_scheduler_placement.cpp
+++ b/libs/dispatch/src/upstream_scheduler_placement.cpp
@@ -10,6 +10,8 @@
 #include <dispatch/task_placement.h>
 #include <spdlog/spdlog.h>
 
+#include "step_tasks.h"
+
 namespace gooseberry {
 
 namespace {
@@ -268,23 +270,15 @@
 UpstreamScheduler::placementCandidates(const ReadyStep &readyStep, const PlacementPass &pass) const
 {
     const StepSpec &spec = *readyStep.spec;
-    std::map<InstanceId, std::uint32_t> tasksOfStep;
-    if (spec.maxPerWorker > 0) {
-        for (const LiveTask &task : readyStep.step->tasks) {
-            if (task.run) {
-                ++tasksOfStep[task.run->worker];
-            }
-        }
-    }
+    const StepTasks tasksOfStep(*readyStep.step, spec);
     std::vector<PlacementCandidate> candidates;
     this->visitPlaces(readyStep, pass, [&](std::uint32_t slot, const Resources &free) {
         const UpstreamWorker &worker = *pass.workersBySlot[slot].worker;
         if (this->isCapable(worker, spec)) {
-            const auto same = tasksOfStep.find(worker.record.id);
             candidates.push_back(
                 PlacementCandidate{.worker = slot,
                                    .free = free,
-                                   .tasksOfStep = same == tasksOfStep.end() ? 0 : same->second,
+                                   .tasksOfStep = tasksOfStep.on(worker),
                                    .rack = worker.record.rack,
                                    .penalty = static_cast<double>(worker.failuresInRow)});
         }
@@ -324,9 +318,11 @@
                                        .preferOneRack = false,
                                        .dataRack = {},
                                        .maxPerWorker = spec.maxPerWorker};
+    const StepTasks tasksOfStep(*readyStep.step, spec);
     std::uint64_t missing = spec.gang ? count : 1;
-    this->visitPlaces(readyStep, pass, [&](std::uint32_t /*slot*/, const Resources &free) {
-        missing -= std::min<std::uint64_t>(missing, tasksThatFit(free, request));
+    this->visitPlaces(readyStep, pass, [&](std::uint32_t slot, const Resources &free) {
+        const UpstreamWorker &worker = *pass.workersBySlot[slot].worker;
+        missing -= std::min<std::uint64_t>(missing, tasksOfStep.thatFit(worker, free, request));
         return missing > 0;
     });
     return missing == 0;
@@ -479,13 +475,14 @@
                                        .preferOneRack = false,
                                        .dataRack = {},
                                        .maxPerWorker = spec.maxPerWorker};
+    const StepTasks tasksOfStep(step, spec);
     std::uint64_t validCapacity = 0;
     std::uint64_t allowedCapacity = 0;
     std::vector<AdviceCandidate> expired;
     for (const AllowedWorker &allowed : step.allowed) {
         const auto *usable = pass.usableWorker(allowed.slot);
         const std::uint64_t taskCapacity
-            = usable == nullptr ? 0 : tasksThatFit(usable->free, request);
+            = usable == nullptr ? 0 : tasksOfStep.thatFit(*usable->worker, usable->free, request);
         allowedCapacity += taskCapacity;
         if (allowed.validUntil >= pass.now + this->settings.ticketMargin) {
             validCapacity += taskCapacity;
@@ -515,7 +512,8 @@
         const UsableWorker &usable = pass.workersBySlot[slot];
         if (!step.queriedSlots.contains(slot) && this->isCapable(*usable.worker, spec)) {
             notQueried.push_back(AdviceCandidate{
-                .worker = slot, .taskCapacity = tasksThatFit(usable.free, request)});
+                .worker = slot,
+                .taskCapacity = tasksOfStep.thatFit(*usable.worker, usable.free, request)});
         }
     }
     const auto share = this->allowedShare.find(readyStep.workflow->queue);
--- a/libs/dispatch/test/dispatcher_test.cpp
+++ b/libs/dispatch/test/dispatcher_test.cpp
@@ -560,6 +560,32 @@
     BOOST_TEST(cell.adviser.requests.size() == 1U);
 }
 
+// Guards against a task that never runs again: workers that had as many tasks of the step as they
+// may have counted as room for it, so the adviser was not asked about the restarted worker.
+BOOST_AUTO_TEST_CASE(AsksForFurtherWorkersWhenTheAllowedOnesHaveTheirShareOfTheStep)
+{
+    DispatchFixture cell(2);
+    cell.changeConfig([](RoutingConfig &config) {
+        config.queues.front().advice
+            = AdviserTiming{.decision = 10ms, .timePerWorker = 1ms, .ticketValidity = 1500ms};
+    });
+    StepSpec serving = DispatchFixture::step(2);
+    serving.longRunning = true;
+    serving.maxPerWorker = 1;
+    cell.submit("serving", {serving});
+    cell.run(1000ms);
+    BOOST_REQUIRE(cell.workers.runningTasks() == 2U);
+    FakeWorker &restarted = cell.workers.workers[DispatchFixture::workerId(0)];
+    restarted.running.clear();
+    restarted.lastEnd = 0;
+    restarted.fence = FencingToken(0);
+    restarted.refusedRuns.clear();
+    cell.announce(restarted.record.id, [](WorkerRecord &record) { record.incarnation += 5s; });
+    cell.run(6000ms);
+    BOOST_TEST(cell.workers.runningTasks() == 2U);
+    BOOST_TEST(cell.workers.violations.empty());
+}
+
 BOOST_AUTO_TEST_CASE(RenewsTicketsOnlyForAllowedWorkersWithFreeCapacity)
 {
     DispatchFixture cell(2);
