--- a/libs/cluster/include/cluster/cluster_node.h
+++ b/libs/cluster/include/cluster/cluster_node.h
@@ -63,7 +63,7 @@
      * effect if it reaches the state after a later one.
      */
     void orderEvacuation(const OperatorRequest &request, SteadyTime deadline,
-                         std::function<void(Result<OperatorReply>)> done);
+                         const std::function<void(Result<OperatorReply>)> &done);
 
     void serve(RequestKind kind, const std::string &request,
                std::function<void(Result<std::string>)> done);
--- a/libs/cluster/src/cluster_node_orders.cpp
+++ b/libs/cluster/src/cluster_node_orders.cpp
@@ -67,7 +67,7 @@
 }
 
 void ClusterNode::orderEvacuation(const OperatorRequest &request, SteadyTime deadline,
-                                  std::function<void(Result<OperatorReply>)> done)
+                                  const std::function<void(Result<OperatorReply>)> &done)
 {
     const auto refuseOld = [this, request, done]() {
         const std::optional<Error> old = this->checkAge(request);
