Find replaced workers in one pass, and only among those with an address

A new leader compared each recovered worker with all others, and workers that have left, whose addresses are not known, counted as having the same one: the one that began earlier was taken for replaced, and its runs were released although it may go on. Test: TakesNoWorkerThatHasLeftForTheSuccessorOfAnother (failed before this change).

--- a/libs/dispatch/include/dispatch/run_evidence.h
+++ b/libs/dispatch/include/dispatch/run_evidence.h
@@ -19,7 +19,7 @@
  */
 SteadyTime latestStartArrival(SteadyTime sentAt, std::optional<SteadyTime> ticketExpiresBy);
 
-/** What the leader knows of a run that it can't rely on any more. */
+/** What the leader knows of a run that may be lost. */
 struct RunEvidence
 {
     /**
@@ -33,7 +33,7 @@
      * the incarnation goes on.
      */
     bool absent = false;
-    /** Another worker has announced itself at the address and refuses orders to this one. */
+    /** Another worker answers at the address, and refuses orders to this one. */
     bool replaced = false;
     /** When every lease that the worker may hold has certainly expired. */
     SteadyTime leasesExpireBy;
--- a/libs/dispatch/include/dispatch/upstream_scheduler.h
+++ b/libs/dispatch/include/dispatch/upstream_scheduler.h
@@ -108,6 +108,8 @@
      */
     void runLocked(const Operation &operation);
     void runLater(Duration delay, const Operation &operation);
+    /** Marks recovered workers at whose address a later one was announced. */
+    void markReplacedWorkers();
     /** Stops the runs of workflows that ended under an earlier leader. */
     void stopEndedWorkflows();
     /** Checks leases and due occurrences; repeats itself until the scheduler is closed. */
--- a/libs/dispatch/src/upstream_scheduler.cpp
+++ b/libs/dispatch/src/upstream_scheduler.cpp
@@ -61,6 +61,7 @@
 
 void UpstreamScheduler::begin()
 {
+    this->markReplacedWorkers();
     // The term begins on the caller's thread only after this call has returned, so the first tick
     // can't run here.
     this->context.schedule(Duration::zero(), [weak = this->weak_from_this()]() {
--- a/libs/dispatch/src/upstream_scheduler_workers.cpp
+++ b/libs/dispatch/src/upstream_scheduler_workers.cpp
@@ -32,9 +32,22 @@
     // the worker has restarted since, so that the lease ends on another clock, until it answers.
     worker.earlierLeasesExpireBy
         = latestExpiryOf(this->settings.longestWorkerLease, worker.lastContact);
-    for (auto &[id, other] : this->workers) {
-        worker.replaced = worker.replaced || isReplacedBy(record, other.record);
-        other.replaced = other.replaced || isReplacedBy(other.record, record);
+}
+
+void UpstreamScheduler::markReplacedWorkers()
+{
+    const std::lock_guard lock(this->mutex);
+    std::map<Address, UpstreamWorker *> byAddress;
+    for (auto &[id, worker] : this->workers) {
+        UpstreamWorker *&latest = byAddress[worker.record.address];
+        if (latest != nullptr && isReplacedBy(worker.record, latest->record)) {
+            worker.replaced = true;
+            continue;
+        }
+        if (latest != nullptr && isReplacedBy(latest->record, worker.record)) {
+            latest->replaced = true;
+        }
+        latest = &worker;
     }
 }
 
--- a/libs/dispatch/src/upstream_worker.cpp
+++ b/libs/dispatch/src/upstream_worker.cpp
@@ -59,8 +59,9 @@
 
 bool isReplacedBy(const WorkerRecord &worker, const WorkerRecord &successor)
 {
-    return worker.id != successor.id && worker.address == successor.address
-        && worker.incarnation < successor.incarnation;
+    // The addresses of workers that have left are not known.
+    return worker.id != successor.id && !worker.address.host.empty()
+        && worker.address == successor.address && worker.incarnation < successor.incarnation;
 }
 
 Resources freeCapacity(const UpstreamWorker &worker)
--- a/libs/dispatch/test/replacement_test.cpp
+++ b/libs/dispatch/test/replacement_test.cpp
@@ -99,6 +99,21 @@
     BOOST_TEST(this->workers.violations.empty());
 }
 
+// Guards against a run that is released although its worker goes on: a new leader doesn't know the
+// addresses of workers that have left, and took them for equal.
+BOOST_AUTO_TEST_CASE(TakesNoWorkerThatHasLeftForTheSuccessorOfAnother)
+{
+    WorkerRecord worker = this->worker(0).record;
+    WorkerRecord successor = worker;
+    successor.id = workerId(1);
+    successor.incarnation += 1s;
+    BOOST_TEST(isReplacedBy(worker, successor));
+    BOOST_TEST(!isReplacedBy(successor, worker));
+    worker.address = {};
+    successor.address = {};
+    BOOST_TEST(!isReplacedBy(worker, successor));
+}
+
 // Guards against a wait for the lease of a worker whose successor answers before it is announced.
 BOOST_AUTO_TEST_CASE(ReleasesARunOnceAnotherWorkerRefusesARenewal)
 {
