Run the search for double runs with the sequential tests

It runs on one thread, so it tells the thread sanitizer nothing, and took over three minutes there beside load. The address variant still runs it. Sequential tests may use the fixtures of the other tests now.

--- a/cmake/GooseberryTargets.cmake
+++ b/cmake/GooseberryTargets.cmake
@@ -33,12 +33,15 @@
   gl_library_test(${name} ${name} ${CMAKE_CURRENT_SOURCE_DIR}/${name}/test)
   # Tests that run on one thread, so the thread sanitizer build can exclude them by label.
   gl_library_test(${name}_sequential ${name} ${CMAKE_CURRENT_SOURCE_DIR}/${name}/test/sequential)
+  # Sequential tests and benchmarks use the fixtures of the other tests.
+  file(GLOB fixtures CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/${name}/test/*_fixture.cpp)
   if(TARGET gl_${name}_sequential_test)
     set_tests_properties(${name}_sequential PROPERTIES LABELS sequential)
+    target_sources(gl_${name}_sequential_test PRIVATE ${fixtures})
+    target_include_directories(gl_${name}_sequential_test
+                               PRIVATE ${CMAKE_CURRENT_SOURCE_DIR}/${name}/test)
   endif()
   file(GLOB benches CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/${name}/bench/*.cpp)
-  # Benchmarks use the fixtures of the tests.
-  file(GLOB fixtures CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/${name}/test/*_fixture.cpp)
   if(benches AND NOT GL_SANITIZE)
     add_executable(${name}_bench ${benches} ${fixtures})
     target_link_libraries(${name}_bench PRIVATE gl_${name} gl_warnings)
