Acknowledge the ends of a worker once, and only while it answers

Cause: every lease renewal repeated the number up to which ends are acknowledged, also the renewals that were sent while a worker was down. Each incarnation of a worker numbers its ends from 1. If a worker keeps the highest number that it was told, as the users' pages allow, the first renewal that reaches its next incarnation hides as many of that incarnation's ends. The leader sees a run that is neither listed nor ended and starts its task again.

Change: a renewal carries a number only for ends that the worker has not yet answered an acknowledgement of, and only if its previous renewal was answered.

--- a/libs/dispatch/include/dispatch/upstream_scheduler.h
+++ b/libs/dispatch/include/dispatch/upstream_scheduler.h
@@ -146,8 +146,8 @@
     // upstream_scheduler_workers.cpp: heartbeats, lease renewal and reports of workers.
     /** Sends a lease renewal unless one is pending, none is needed, or contact is lost. */
     void renewLeaseIfNeeded(UpstreamWorker &worker, Effects &effects);
-    void onLeaseRenewalReply(const InstanceId &id, WorkerIncarnation incarnation, SteadyTime sentAt,
-                             const Result<LeaseRenewalReply> &result, Effects &effects);
+    void onLeaseRenewalReply(const SentRenewal &sent, const Result<LeaseRenewalReply> &result,
+                             Effects &effects);
     void recordClock(UpstreamWorker &worker, WorkerTime clock, SteadyTime at);
     /** Sets up a worker that an earlier leader may have given a lease. */
     void recoverWorker(UpstreamWorker &worker, const WorkerRecord &record);
--- a/libs/dispatch/include/dispatch/upstream_worker.h
+++ b/libs/dispatch/include/dispatch/upstream_worker.h
@@ -94,6 +94,7 @@
     std::uint64_t lastSeenEnd = 0;
     /** Ends that are being stored and must not be acknowledged yet. */
     std::set<std::uint64_t> unstoredEnds;
+    /** The worker has answered an acknowledgement of the ends up to this one. */
     std::uint64_t acknowledgedEnds = 0;
     /**
      * The worker gets no new tasks until then, after failed tasks and orders that were refused or
@@ -105,6 +106,15 @@
     WorkflowId lastFailedWorkflow;
 };
 
+/** What the answer to a lease renewal refers to. */
+struct SentRenewal
+{
+    InstanceId worker;
+    WorkerIncarnation incarnation;
+    SteadyTime sentAt;
+    std::uint64_t acknowledgedEnds = 0;
+};
+
 /**
  * Returns the local time by which a lease of this length, which the worker receives now, has
  * expired on the worker, given the largest clock lag.
@@ -146,4 +156,12 @@
 /** Returns the highest end up to which all ends are stored, so that the worker may forget them. */
 std::uint64_t highestAcknowledgeableEnd(const UpstreamWorker &worker);
 
+/**
+ * Returns the number up to which the next lease renewal acknowledges ends; zero for none. Each
+ * incarnation numbers its ends from one, so an acknowledgement that reaches the next incarnation
+ * may have it forget ends that nobody has read. Therefore none is sent again that was answered, and
+ * none after a renewal without an answer, as the worker may have restarted.
+ */
+std::uint64_t acknowledgementToSend(const UpstreamWorker &worker);
+
 } // namespace gooseberry
--- a/libs/dispatch/src/upstream_scheduler_workers.cpp
+++ b/libs/dispatch/src/upstream_scheduler_workers.cpp
@@ -247,7 +247,7 @@
                         .incarnation = worker.record.incarnation};
     LeaseRenewalOrder order{.leaseEnd = WorkerTime{},
                             .fence = fencingToken(this->term, worker.restarts),
-                            .acknowledgedEnds = highestAcknowledgeableEnd(worker),
+                            .acknowledgedEnds = acknowledgementToSend(worker),
                             .wait = worker.fenceConfirmed && worker.clock && !worker.runs.empty()
                                 ? this->settings.renewalWait
                                 : std::chrono::milliseconds(0)};
@@ -263,8 +263,11 @@
         worker.leaseExpiresBy = std::max(worker.leaseExpiresBy,
                                          latestLeaseExpiry(*worker.clock, worker.leaseGranted));
     }
-    worker.acknowledgedEnds = order.acknowledgedEnds;
-    effects.push_back([self = this->shared_from_this(), ref, order, now]() {
+    const SentRenewal sent{.worker = ref.id,
+                           .incarnation = ref.incarnation,
+                           .sentAt = now,
+                           .acknowledgedEnds = order.acknowledgedEnds};
+    effects.push_back([self = this->shared_from_this(), ref, order, sent]() {
         if (!self->context.log.holdsLease()) {
             self->runLocked([&](Effects &) {
                 const auto known = self->workers.find(ref.id);
@@ -274,22 +277,22 @@
             });
             return;
         }
-        self->context.orders.renewLease(
-            ref, order, [self, ref, now](const Result<LeaseRenewalReply> &result) {
-                self->runLocked([&](Effects &later) {
-                    self->onLeaseRenewalReply(ref.id, ref.incarnation, now, result, later);
-                });
-            });
+        self->context.orders.renewLease(ref, order,
+                                        [self, sent](const Result<LeaseRenewalReply> &result) {
+                                            self->runLocked([&](Effects &later) {
+                                                self->onLeaseRenewalReply(sent, result, later);
+                                            });
+                                        });
     });
 }
 
-void UpstreamScheduler::onLeaseRenewalReply(const InstanceId &id, WorkerIncarnation incarnation,
-                                            SteadyTime sentAt,
+void UpstreamScheduler::onLeaseRenewalReply(const SentRenewal &sent,
                                             const Result<LeaseRenewalReply> &result,
                                             Effects &effects)
 {
+    const InstanceId id = sent.worker;
     const auto found = this->workers.find(id);
-    if (found == this->workers.end() || found->second.record.incarnation != incarnation) {
+    if (found == this->workers.end() || found->second.record.incarnation != sent.incarnation) {
         return;
     }
     UpstreamWorker &worker = found->second;
@@ -342,6 +345,7 @@
         return;
     }
     this->confirmFence(worker);
+    worker.acknowledgedEnds = std::max(worker.acknowledgedEnds, sent.acknowledgedEnds);
     this->recordClock(worker, reply.clock, now);
     std::vector<RunningEntry> orphanedRuns;
     for (const RunningEntry &entry : reply.running) {
@@ -351,7 +355,7 @@
     }
     this->stopOrphanedRuns(worker, orphanedRuns, effects);
     this->processEndedRuns(worker, reply.ended, effects);
-    this->releaseUnreportedRuns(worker, reply, sentAt, effects);
+    this->releaseUnreportedRuns(worker, reply, sent.sentAt, effects);
     this->schedulePlacement(effects);
     const Duration pause = this->settings.renewalPause
         + this->settings.renewalPausePerWorker * static_cast<std::int64_t>(this->workers.size());
--- a/libs/dispatch/src/upstream_worker.cpp
+++ b/libs/dispatch/src/upstream_worker.cpp
@@ -84,4 +84,11 @@
     return worker.unstoredEnds.empty() ? worker.lastSeenEnd : *worker.unstoredEnds.begin() - 1;
 }
 
+std::uint64_t acknowledgementToSend(const UpstreamWorker &worker)
+{
+    const std::uint64_t highest = highestAcknowledgeableEnd(worker);
+    const bool answers = worker.fenceConfirmed && !worker.lastRenewalFailed;
+    return answers && highest > worker.acknowledgedEnds ? highest : 0;
+}
+
 } // namespace gooseberry
