Hold no lease while the state machine acts for an earlier term

What callers could see: a node that leads again answers them, and sends orders to workers, without what another leader has stored in between.

Cause: Replica::holdsLease() asked whether the apply loop had announced any term. A leader that loses its leadership while the apply loop is busy, and is elected again before the loop goes on, had the lease of the new term while its state machine still acted for the earlier one.

Change: the lease counts only while the announced term is that of the lease.

--- a/libs/quorum/src/replica_impl.cpp
+++ b/libs/quorum/src/replica_impl.cpp
@@ -190,8 +190,10 @@
 
 bool Replica::Impl::holdsLease() const
 {
+    // The state machine may still act for an earlier term of this replica if the apply loop lags
+    // behind. It then lacks what another leader has committed since.
     return this->clock.steadyNow() < SteadyTime(Duration(this->publishedLeaseEnd))
-        && this->applyLoop.announcedTerm() != Term(0);
+        && this->applyLoop.announcedTerm() == Term(this->publishedLeaseTerm);
 }
 
 ReplicaStatus Replica::Impl::status() const
@@ -205,6 +207,8 @@
 void Replica::Impl::publish()
 {
     const auto lease = this->failure ? std::nullopt : leaseEnd(this->state, this->now);
+    // In this order: the end of a lease is never visible together with an earlier term.
+    this->publishedLeaseTerm = this->state.term.value;
     this->publishedLeaseEnd = lease ? lease->time_since_epoch().count() : 0;
     const bool leads = this->state.role == Role::Leader && !this->failure;
     const std::lock_guard lock(this->statusMutex);
--- a/libs/quorum/src/replica_impl.h
+++ b/libs/quorum/src/replica_impl.h
@@ -126,6 +126,7 @@
     bool running = false;
 
     std::atomic<SteadyTime::rep> publishedLeaseEnd{0};
+    std::atomic<std::uint64_t> publishedLeaseTerm{0};
     mutable std::mutex statusMutex; ///< Guards published.
     ReplicaStatus published;
     std::thread thread;
--- a/libs/quorum/test/replica_test.cpp
+++ b/libs/quorum/test/replica_test.cpp
@@ -181,6 +181,57 @@
     BOOST_TEST(node->machine.applied() == numberedCommands(1, 1), boost::test_tools::per_element());
 }
 
+// Guards against a replica that leads again while its state machine still acts for its earlier
+// term: it would answer callers and send orders without what another leader has committed in
+// between.
+BOOST_AUTO_TEST_CASE(HoldsNoLeaseWhileItsStateMachineActsForAnEarlierTerm)
+{
+    this->cell.startAll();
+    const std::string old = this->cell.waitForLeader();
+    const auto node = this->cell.node(old);
+    this->runCommand("command 1");
+    const Term earlier = node->replica->status().term;
+    {
+        // The state machine can't apply the next command meanwhile.
+        const std::lock_guard stalled(node->machine.mutex);
+        node->replica->propose("command 2", [](const Error & /*error*/) {});
+        const auto waitUntil = [](const std::function<bool()> &condition) {
+            for (int wait = 0; wait < 20'000 && !condition(); ++wait) {
+                std::this_thread::sleep_for(std::chrono::milliseconds(1));
+            }
+            return condition();
+        };
+        BOOST_REQUIRE(waitUntil([&] {
+            const ReplicaStatus status = node->replica->status();
+            return status.applied < status.committed;
+        }));
+        this->cell.isolate(old, true);
+        BOOST_REQUIRE(waitUntil([&] { return !node->replica->holdsLease(); }));
+        const std::string next = this->cell.waitForLeader();
+        this->runCommand("command 3");
+        this->cell.isolate(old, false);
+        for (const std::string &name : this->cell.running()) {
+            this->cell.isolate(name, name != old && name != next);
+        }
+        const auto leadsAgain = [&] {
+            const ReplicaStatus status = node->replica->status();
+            if (status.leads && status.term > earlier) {
+                return true;
+            }
+            this->cell.node(next)->replica->transferLeadership([](const Status & /*status*/) {});
+            return false;
+        };
+        BOOST_REQUIRE(waitUntil(leadsAgain));
+        // Long enough for a lease of the new term.
+        for (int wait = 0; wait < 500; ++wait) {
+            BOOST_REQUIRE(!node->replica->holdsLease());
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        }
+    }
+    BOOST_TEST(node->machine.waitForDistinctCommands(3));
+    BOOST_TEST(!this->cell.waitForLeader().empty());
+}
+
 // Guards against a log that grows without bound, and against a replica that never catches up
 // because the entries it needs were compacted.
 BOOST_AUTO_TEST_CASE(LaggingReplicaCatchesUpFromChunkedSnapshot)
