Separate the routing of requests to the leader from the links

Cause: where an attempt of a request is sent, when another one follows, what is relayed and what is said of the outcome stood in CellLinks, together with its sockets and threads, so that no simulated clock could drive it.

Change: LeaderRequests decides, and reaches the node through RequestRoutes, which CellLinks implements. callerReply() has a file of its own. Behaviour is unchanged.

--- a/libs/cluster/include/cluster/cell_links.h
+++ b/libs/cluster/include/cluster/cell_links.h
@@ -8,48 +8,23 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
+#include <cluster/leader_requests.h>
 #include <cluster/node_settings.h>
 #include <cluster/pause_detector.h>
-#include <cluster/request_attempts.h>
 #include <link/link.h>
 #include <quorum/quorum.h>
 
 namespace gooseberry {
 
-/** The kind of a request between nodes; its value is sent as the first byte. */
-enum class RequestKind : char {
-    Caller = 'c',
-    Operator = 'o',
-    Announcement = 'w',
-    Advice = 'a',
-    Heartbeats = 'h', ///< Heartbeats of workers whose records are unchanged.
-};
-
-/** The result of a request to the leader. */
-struct LeaderAnswer
-{
-    /** The error's outcome covers all attempts. */
-    Result<std::string> reply;
-    /**
-     * Unknown if an attempt other than the one that was answered may have had, or may still have,
-     * an effect. A reply by which a request was refused is then not the whole truth.
-     */
-    Outcome otherAttempts = Outcome::NotRun;
-    std::vector<RequestAttempt> attempts;
-};
-
-/** Handles a request; on an error with code NotLeader the sender retries with the leader. */
-using RequestHandler = std::function<void(RequestKind, const std::string &,
-                                          std::function<void(Result<std::string>)>)>;
-
 /**
  * The links between the nodes of a cell without a static member list. A node is started with the
  * addresses of some seeds. It learns the current leader and the log replicas from beacons, which
  * the leader sends periodically. A node that has a data folder but is not a voter asks the leader
  * to join, and the leader adds and replaces voters to keep their target number.
  */
-class CellLinks : public ReplicaTransport
+class CellLinks : public ReplicaTransport, private RequestRoutes
 {
 public:
     /**
@@ -68,23 +43,19 @@
 
     void send(const InstanceId &to, QuorumMessage message) override;
 
-    const InstanceId &self() const;
+    const InstanceId &self() const override;
     /** Returns the leader, if a message or beacon of it was received recently. */
-    std::optional<InstanceId> leader() const;
+    std::optional<InstanceId> leader() const override;
     /** Returns the address at which the leader accepts the heartbeats of workers. */
     std::optional<Address> leaderReportAddress() const;
     /** Returns whether this process stood still a moment ago; only known on nodes with a log. */
-    bool pausedRecently() const;
+    bool pausedRecently() const override;
     /** Returns the nodes that this one has a link with. */
     std::set<InstanceId> connectedNodes() const;
     /** Returns a number that rises with each change of connectedNodes(), to tell old copies. */
     std::uint64_t connectionChanges() const;
 
-    /**
-     * Sends a request to the leader, which may be this node, and retries until the deadline, so the
-     * request must be idempotent. The error's outcome is NotRun only if no attempt can have had, or
-     * can still have, an effect.
-     */
+    /** See LeaderRequests. */
     void callLeader(RequestKind kind, std::string request, SteadyTime deadline,
                     std::function<void(const LeaderAnswer &)> done);
     /** Sends a request to one node, without retries. */
@@ -92,29 +63,19 @@
                   std::chrono::milliseconds timeout, std::function<void(Result<std::string>)> done);
 
 private:
-    struct PendingRequest;
-
     /** Long enough that three lost beacons do not make the leader unknown. */
     static constexpr std::chrono::milliseconds leaderInfoLifetime{1200};
 
-    // cell_requests.cpp: requests to the leader.
-    /** Sends the request again, unless another attempt was made after the given one. */
-    void sendAttempt(const std::shared_ptr<PendingRequest> &pending, std::size_t earlier);
-    void onReply(const std::shared_ptr<PendingRequest> &pending, std::size_t attempt,
-                 Result<std::string> result);
-    /** Resends to a new leader what waits for another node's reply, which may never come. */
-    void retryWithNewLeader(const InstanceId &leader);
+    // cell_requests.cpp: the way of requests through the links.
+    bool leads() const override;
+    bool isConnected(const InstanceId &node) const override;
+    std::vector<InstanceId> connectedReplicas() const override;
+    void call(const InstanceId &node, const std::string &frame, std::chrono::milliseconds timeout,
+              std::function<void(Result<std::string>)> done) override;
+    void after(Duration delay, std::function<void()> task) override;
     void onRequest(const std::string &frame, const PeerHandlers::Reply &reply);
-    void serveFrame(const std::string &frame, const PeerHandlers::Reply &reply);
     /** Passes the answer to a request to its sender, unless this node has stopped. */
     void answerRequest(std::uint64_t number, std::string answer);
-    void callPeer(const InstanceId &node, const std::string &frame,
-                  std::chrono::milliseconds timeout, std::function<void(Result<std::string>)> done);
-    /**
-     * Returns the leader if there is a link with it, or else another log replica, if possible not
-     * the target of the previous attempt.
-     */
-    std::optional<InstanceId> nextHop(const InstanceId &previousTarget);
 
     // cell_links.cpp: links and beacons.
     void onFrame(const InstanceId &from, const std::string &frame);
@@ -153,16 +114,15 @@
     const Clock &clock;
     const NodeSettings settings;
     const InstanceId ownId;
-    RequestHandler serve;
     Replica *replica = nullptr;
     std::unique_ptr<PeerNetwork> network;
     PauseDetector pauses;
+    LeaderRequests requests;
 
     mutable std::mutex mutex; ///< Guards the members below.
     bool stopped = false;
     /** When the executor last ran step(). */
     SteadyTime lastStepAt;
-    std::set<std::shared_ptr<PendingRequest>> pendingRequests;
     /**
      * The replies to requests of other nodes. Work on the executor refers to them by number, since
      * a reply keeps the network alive, which must not outlive linkExecutor.
@@ -180,7 +140,6 @@
     /** The latest beacon, for nodes that have no link with the leader. */
     std::string lastBeacon;
     SteadyTime nextRelay;
-    std::size_t nextHopIndex = 0;
     SteadyTime nextJoinRequest;
     Term ledTerm;
     SteadyTime leadingSince;
--- a/libs/cluster/include/cluster/cluster.h
+++ b/libs/cluster/include/cluster/cluster.h
@@ -5,6 +5,7 @@
 #include <cluster/advice_router.h>
 #include <cluster/cell_links.h>
 #include <cluster/cluster_node.h>
+#include <cluster/leader_requests.h>
 #include <cluster/leader_service.h>
 #include <cluster/membership_step.h>
 #include <cluster/node_metrics.h>
--- a/libs/cluster/src/cell_links.cpp
+++ b/libs/cluster/src/cell_links.cpp
@@ -53,8 +53,8 @@
     , clock(initialClock)
     , settings(initialSettings)
     , ownId(peerId(peerAddress(initialSettings.host, initialSettings.peerPort)))
-    , serve(std::move(initialServe))
     , pauses(initialClock)
+    , requests(*this, initialClock, std::move(initialServe))
 {
     PeerHandlers handlers;
     handlers.onFrame
@@ -79,7 +79,7 @@
             ++this->changesOfConnected;
         }
         if (leaderLinked) {
-            this->executor.post([this, peer]() { this->retryWithNewLeader(peer); });
+            this->executor.post([this, peer]() { this->requests.retryWithNewLeader(peer); });
         }
     };
     this->network = std::make_unique<PeerNetwork>(
@@ -113,12 +113,11 @@
 
 void CellLinks::stop()
 {
-    std::set<std::shared_ptr<PendingRequest>> unanswered;
+    this->requests.stop();
     std::map<std::uint64_t, PeerHandlers::Reply> unsent;
     {
         const std::lock_guard lock(this->mutex);
         this->stopped = true;
-        unanswered.swap(this->pendingRequests);
         unsent.swap(this->pendingReplies);
     }
     this->network->stop();
@@ -268,7 +267,8 @@
     }
     this->updatePeers();
     if (leaderChanged) {
-        this->executor.post([this, leader = beacon.leader]() { this->retryWithNewLeader(leader); });
+        this->executor.post(
+            [this, leader = beacon.leader]() { this->requests.retryWithNewLeader(leader); });
     }
 }
 
--- a/libs/cluster/src/cell_requests.cpp
+++ b/libs/cluster/src/cell_requests.cpp
@@ -1,221 +1,61 @@
-// Requests to the leader: routing, retries, and relaying for nodes without a link to the leader.
+// The way of requests through the links: from a node to the leader and back.
 
 #include <cluster/cell_links.h>
 
-#include <algorithm>
-
-#include "cluster_records.h"
-
 namespace gooseberry {
 
-namespace {
-
-constexpr char answerFrame = 'y';
-constexpr char refusalFrame = 'n';
-/**
- * Second byte of a request: whether the receiver may relay it to the leader. A relayed request is
- * not relayed again, so that it can't circulate.
- */
-constexpr char mayRelay = '0';
-constexpr char relayed = '1';
-
-/** How long a relaying node waits for the leader's reply. */
-constexpr std::chrono::milliseconds relayTimeout{1500};
-/** The delay before a failed request is sent again. */
-constexpr std::chrono::milliseconds retryDelay{40};
-
-Error linkError(ErrorCode code, const std::string &message, Outcome outcome)
-{
-    return Error{
-        .code = code, .step = Step::Forward, .peer = {}, .message = message, .outcome = outcome};
-}
-
-} // namespace
-
-/** A request to the leader that has no final reply yet. */
-struct CellLinks::PendingRequest
-{
-    RequestKind kind = RequestKind::Caller;
-    std::string request;
-    SteadyTime deadline;
-    std::function<void(const LeaderAnswer &)> done;
-    /** In the order in which they were made; the number of an attempt is its index plus one. */
-    std::vector<RequestAttempt> attempts;
-
-    /** Returns the node that the latest attempt was sent to; empty if none was available. */
-    InstanceId target() const
-    {
-        return this->attempts.empty() ? InstanceId{} : this->attempts.back().target;
-    }
-};
-
 void CellLinks::callLeader(RequestKind kind, std::string request, SteadyTime deadline,
                            std::function<void(const LeaderAnswer &)> done)
 {
-    auto pending = std::make_shared<PendingRequest>();
-    pending->kind = kind;
-    pending->request = std::move(request);
-    pending->deadline = deadline;
-    pending->done = std::move(done);
-    {
-        const std::lock_guard lock(this->mutex);
-        if (this->stopped) {
-            return;
-        }
-        this->pendingRequests.insert(pending);
-    }
-    this->sendAttempt(pending, 0);
+    this->requests.callLeader(kind, std::move(request), deadline, std::move(done));
 }
 
-void CellLinks::sendAttempt(const std::shared_ptr<PendingRequest> &pending, std::size_t earlier)
+void CellLinks::callNode(const InstanceId &node, RequestKind kind, const std::string &request,
+                         std::chrono::milliseconds timeout,
+                         std::function<void(Result<std::string>)> done)
 {
-    InstanceId previousTarget;
-    {
-        const std::lock_guard lock(this->mutex);
-        previousTarget = pending->target();
-    }
-    const bool leads = this->replica != nullptr && this->replica->holdsLease();
-    const std::optional<InstanceId> target
-        = leads ? std::optional(this->ownId) : this->nextHop(previousTarget);
-    std::size_t number = 0;
-    {
-        const std::lock_guard lock(this->mutex);
-        // Another attempt is in progress, or the request has been completed.
-        if (pending->attempts.size() != earlier || !this->pendingRequests.contains(pending)) {
-            return;
-        }
-        pending->attempts.push_back(
-            RequestAttempt{.target = target.value_or(InstanceId{}), .outcome = {}});
-        number = pending->attempts.size();
-    }
-    const auto answer = [this, pending, number](Result<std::string> result) {
-        this->onReply(pending, number, std::move(result));
-    };
-    if (leads) {
-        this->serve(pending->kind, pending->request, answer);
-    } else if (target) {
-        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
-            pending->deadline - this->clock.steadyNow());
-        this->callNode(*target, pending->kind, pending->request,
-                       std::max(left, std::chrono::milliseconds(1)), answer);
-    } else {
-        answer(linkError(ErrorCode::NotLeader, "no leader is known", Outcome::NotRun));
-    }
+    this->requests.callNode(node, kind, request, timeout, std::move(done));
 }
 
-void CellLinks::onReply(const std::shared_ptr<PendingRequest> &pending, std::size_t attempt,
-                        Result<std::string> result)
+bool CellLinks::leads() const
 {
-    LeaderAnswer answer;
-    {
-        const std::lock_guard lock(this->mutex);
-        if (!this->pendingRequests.contains(pending)) {
-            return;
-        }
-        // What an answered attempt did is in its reply.
-        std::optional<Outcome> &outcome = pending->attempts[attempt - 1].outcome;
-        outcome = ok(result) ? Outcome::NotRun : errorOf(result).outcome;
-        if (!ok(result)) {
-            // A later attempt is in progress and decides the result.
-            if (attempt != pending->attempts.size()) {
-                return;
-            }
-            if (this->clock.steadyNow() + retryDelay < pending->deadline) {
-                this->executor.after(retryDelay, [this, pending, attempt]() {
-                    this->sendAttempt(pending, attempt);
-                });
-                return;
-            }
-        }
-        this->pendingRequests.erase(pending);
-        answer.attempts = pending->attempts;
-    }
-    answer.otherAttempts = combinedOutcome(answer.attempts);
-    if (!ok(result)) {
-        Error error = errorOf(result);
-        error.outcome = answer.otherAttempts;
-        result = error;
-    }
-    answer.reply = std::move(result);
-    pending->done(answer);
+    return this->replica != nullptr && this->replica->holdsLease();
 }
 
-void CellLinks::retryWithNewLeader(const InstanceId &leader)
+bool CellLinks::isConnected(const InstanceId &node) const
 {
-    std::vector<std::pair<std::shared_ptr<PendingRequest>, std::size_t>> waiting;
-    {
-        const std::lock_guard lock(this->mutex);
-        for (const auto &pending : this->pendingRequests) {
-            if (pending->target() != leader) {
-                waiting.emplace_back(pending, pending->attempts.size());
-            }
-        }
-    }
-    for (const auto &[pending, attempt] : waiting) {
-        this->sendAttempt(pending, attempt);
-    }
+    const std::lock_guard lock(this->mutex);
+    return this->connected.contains(node);
 }
 
-std::optional<InstanceId> CellLinks::nextHop(const InstanceId &previousTarget)
+std::vector<InstanceId> CellLinks::connectedReplicas() const
 {
-    std::optional<InstanceId> known = this->leader();
+    std::vector<InstanceId> replicas;
     const std::lock_guard lock(this->mutex);
-    if (known && this->connected.contains(*known)) {
-        return known;
-    }
-    std::vector<InstanceId> others;
     for (const InstanceId &node : this->logReplicas) {
         if (node != this->ownId && this->connected.contains(node)) {
-            others.push_back(node);
+            replicas.push_back(node);
         }
     }
-    // The previous target may be unresponsive although its link has not been detected as broken.
-    if (others.size() > 1) {
-        std::erase(others, previousTarget);
-    }
-    if (others.empty()) {
-        return std::nullopt;
-    }
-    return others[this->nextHopIndex++ % others.size()];
+    return replicas;
 }
 
-void CellLinks::callNode(const InstanceId &node, RequestKind kind, const std::string &request,
-                         std::chrono::milliseconds timeout,
-                         std::function<void(Result<std::string>)> done)
+void CellLinks::call(const InstanceId &node, const std::string &frame,
+                     std::chrono::milliseconds timeout,
+                     std::function<void(Result<std::string>)> done)
 {
-    this->callPeer(node, std::string{static_cast<char>(kind), mayRelay} + request, timeout,
-                   std::move(done));
+    // Replies are handled on the executor, since a handler may wait for a lock or work for long.
+    this->network->call(node, frame, timeout,
+                        [this, done = std::move(done)](Result<std::string> result) {
+                            this->executor.post([done, result = std::move(result)]() mutable {
+                                done(std::move(result));
+                            });
+                        });
 }
 
-void CellLinks::callPeer(const InstanceId &node, const std::string &frame,
-                         std::chrono::milliseconds timeout,
-                         std::function<void(Result<std::string>)> done)
+void CellLinks::after(Duration delay, std::function<void()> task)
 {
-    // Replies are handled on the executor, since a handler may wait for a lock or work for long.
-    const auto onExecutor = [this](auto handler) {
-        return [this, handler = std::move(handler)](Result<std::string> result) {
-            this->executor.post(
-                [handler, result = std::move(result)]() mutable { handler(result); });
-        };
-    };
-    this->network->call(
-        node, frame, timeout,
-        onExecutor([done = std::move(done), node](const Result<std::string> &result) {
-            if (!ok(result)) {
-                done(errorOf(result));
-                return;
-            }
-            const std::string &answer = valueOf(result);
-            if (!answer.empty() && answer.front() == answerFrame) {
-                done(answer.substr(1));
-                return;
-            }
-            const bool unknown = answer == std::string{refusalFrame, 'u'};
-            Error error = linkError(ErrorCode::NotLeader, "the node refused the request",
-                                    unknown ? Outcome::Unknown : Outcome::NotRun);
-            error.peer = node.value;
-            done(error);
-        }));
+    this->executor.after(delay, std::move(task));
 }
 
 void CellLinks::onRequest(const std::string &frame, const PeerHandlers::Reply &reply)
@@ -230,7 +70,7 @@
         this->pendingReplies.emplace(number, reply);
     }
     this->executor.post([this, frame, number]() {
-        this->serveFrame(frame, [this, number](std::string answer) {
+        this->requests.serveFrame(frame, [this, number](std::string answer) {
             this->answerRequest(number, std::move(answer));
         });
     });
@@ -251,39 +91,4 @@
     reply(std::move(answer));
 }
 
-void CellLinks::serveFrame(const std::string &frame, const PeerHandlers::Reply &reply)
-{
-    if (frame.size() < 2) {
-        reply(std::string{refusalFrame});
-        return;
-    }
-    const auto answer = [reply](const Result<std::string> &result) {
-        if (ok(result)) {
-            reply(answerFrame + valueOf(result));
-        } else if (errorOf(result).outcome == Outcome::Unknown) {
-            reply(std::string{refusalFrame, 'u'});
-        } else {
-            reply(std::string{refusalFrame});
-        }
-    };
-    const auto kind = static_cast<RequestKind>(frame.front());
-    const bool leads = this->replica != nullptr && this->replica->holdsLease();
-    if (kind != RequestKind::Advice && !leads && frame[1] == mayRelay) {
-        if (this->pauses.pausedRecently()) {
-            // The sender has repeated what waited here with another node. A copy that reaches the
-            // leader now may undo what the sender has ordered since.
-            reply(std::string{refusalFrame});
-            return;
-        }
-        const std::optional<InstanceId> known = this->leader();
-        if (known && *known != this->ownId) {
-            std::string passedOn = frame;
-            passedOn[1] = relayed;
-            this->callPeer(*known, passedOn, relayTimeout, answer);
-            return;
-        }
-    }
-    this->serve(kind, frame.substr(2), answer);
-}
-
 } // namespace gooseberry
--- a/libs/cluster/src/cluster_node.cpp
+++ b/libs/cluster/src/cluster_node.cpp
@@ -4,6 +4,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include "caller_reply.h"
 #include "cluster_records.h"
 
 namespace gooseberry {
@@ -12,8 +13,6 @@
 
 /** Heartbeats of the leader within one lease. */
 constexpr int heartbeatsPerLease = 5;
-/** The retry delay that callers get while a leader is being elected. */
-constexpr std::chrono::milliseconds electionRetryDelay{1000};
 /** The log growth that triggers a snapshot; a small part of the smallest disk. */
 constexpr Bytes snapshotInterval{2LL * 1024 * 1024};
 /** How long heartbeats are collected before they are forwarded; a part of their interval. */
@@ -72,48 +71,6 @@
     return ok(answer.reply) ? decodeRecord<Reply>(valueOf(answer.reply)) : errorOf(answer.reply);
 }
 
-/** Returns whether the reply says that a submission or a cancellation was not carried out. */
-bool isRefusal(const CallerReply &reply)
-{
-    switch (reply.outcome) {
-    case CallerOutcome::NoConfiguration:
-    case CallerOutcome::UnknownQueue:
-    case CallerOutcome::UnknownKey:
-    case CallerOutcome::Invalid:
-    case CallerOutcome::Overloaded:
-    case CallerOutcome::Unavailable:
-        return true;
-    default:
-        return false;
-    }
-}
-
-/**
- * Returns the reply for a caller. Its request has not run only if that holds for all attempts to
- * have it served.
- */
-CallerReply callerReply(CallerAction action, const LeaderAnswer &answer)
-{
-    CallerReply reply;
-    const Result<CallerReply> result = decodeReply<CallerReply>(answer);
-    if (!ok(result)) {
-        // A reply that can't be read may have confirmed the request.
-        const bool notRun = !ok(answer.reply) && errorOf(result).outcome == Outcome::NotRun;
-        reply.outcome = notRun ? CallerOutcome::Unavailable : CallerOutcome::OutcomeUnknown;
-        reply.retryAfter = electionRetryDelay;
-        reply.message = errorOf(result).message;
-        return reply;
-    }
-    if (action != CallerAction::Read && answer.otherAttempts == Outcome::Unknown
-        && isRefusal(valueOf(result))) {
-        reply.outcome = CallerOutcome::OutcomeUnknown;
-        reply.message = "an earlier attempt may have run; the last one was refused: "
-            + valueOf(result).message;
-        return reply;
-    }
-    return valueOf(result);
-}
-
 } // namespace
 
 ClusterNode::ClusterNode(NodeSettings initialSettings, const Clock &initialClock,
