Promise nothing of a submission without the leader's word

What callers saw: a submission that had been refused with 503, which on the users' pages promises that it never runs, ran (REFUSED, as one way to it).

Cause: an entry node answered 503 if none of its own attempts could have run. The promise holds for the submission, and the node knows nothing of the copies that the caller has handed to other nodes before: one may be in a log that the next leader commits, or wait for a reply that is lost.

Change: only an answer of the leader refuses a submission. Without one the caller gets 504, and by the users' pages asks again with the same id. Reads and cancellations keep 503.

--- a/libs/cluster/src/caller_reply.cpp
+++ b/libs/cluster/src/caller_reply.cpp
@@ -35,7 +35,10 @@
     if (!ok(result)) {
         // A reply that can't be read may have confirmed the request.
         const bool notRun = !ok(answer.reply) && errorOf(result).outcome == Outcome::NotRun;
-        reply.outcome = notRun ? CallerOutcome::Unavailable : CallerOutcome::OutcomeUnknown;
+        // Without a leader's word, a node knows nothing of the copies of a submission that the
+        // caller has handed to others, and "not run" would be a promise for all of them.
+        const bool mayPromise = notRun && action != CallerAction::Submit;
+        reply.outcome = mayPromise ? CallerOutcome::Unavailable : CallerOutcome::OutcomeUnknown;
         reply.retryAfter = electionRetryDelay;
         reply.message = errorOf(result).message;
         return reply;
--- a/libs/cluster/test/cluster_test.cpp
+++ b/libs/cluster/test/cluster_test.cpp
@@ -251,14 +251,28 @@
 }
 
 BOOST_AUTO_TEST_CASE(ReportsUnavailableWhenNoLeaderIsKnown)
+{
+    this->startNodeWithoutLog(9);
+    for (const CallerAction action : {CallerAction::Read, CallerAction::Cancel}) {
+        CallerRequest request;
+        request.action = action;
+        Awaited<CallerReply> reply;
+        this->nodes.at(9)->node->handle(request, 300ms, reply.callback());
+        BOOST_TEST((reply.get().outcome == CallerOutcome::Unavailable));
+    }
+    BOOST_TEST(!this->nodes.at(9)->node->ready());
+}
+
+// Guards against a promise that a submission never runs, by a node that can't know of its other
+// copies: the caller may have handed one to another node, which heard of the leader.
+BOOST_AUTO_TEST_CASE(PromisesNothingOfASubmissionWhenNoLeaderIsKnown)
 {
     this->startNodeWithoutLog(9);
     CallerRequest request;
     request.action = CallerAction::Submit;
     Awaited<CallerReply> reply;
     this->nodes.at(9)->node->handle(request, 300ms, reply.callback());
-    BOOST_TEST((reply.get().outcome == CallerOutcome::Unavailable));
-    BOOST_TEST(!this->nodes.at(9)->node->ready());
+    BOOST_TEST((reply.get().outcome == CallerOutcome::OutcomeUnknown));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
