Wait for the lease that a delayed start may bring

What callers could see: a task ran twice at once (TWICE).

Cause: isOver() waited until an unanswered start could no longer arrive, and for the leases of orders that had arrived by then. A start that arrives at the last moment, at an incarnation that nobody has heard of, brings the longest lease. Class of fault: a fact about one incarnation is applied to the next.

Change: RunEvidence has the lease that a late start may bring. A run is over only after that, unless the incarnation that does not execute it was heard of once the start could not arrive any more. Starts with a ticket expire within a second or two and are left as they were; waiting for the longest lease there would cost the tasks of each lost worker whose start was on its way some seconds (docs/design.md, 7.1, not covered).

--- a/libs/dispatch/include/dispatch/run_evidence.h
+++ b/libs/dispatch/include/dispatch/run_evidence.h
@@ -33,10 +33,17 @@
      * the incarnation goes on.
      */
     bool absent = false;
+    /** When the worker's present incarnation was last heard of. */
+    SteadyTime lastContact;
     /** Another worker answers at the address, and refuses orders to this one. */
     bool replaced = false;
-    /** When every lease that the worker may hold has certainly expired. */
+    /** When every lease from orders that have arrived by now has certainly expired. */
     SteadyTime leasesExpireBy;
+    /**
+     * The lease that a start may bring that is carried out late. Zero for a start with a ticket: it
+     * expires so soon that the worker would have to restart unseen within a second or two.
+     */
+    std::chrono::milliseconds lateLease{0};
 };
 
 /**
--- a/libs/dispatch/src/upstream_scheduler_release.cpp
+++ b/libs/dispatch/src/upstream_scheduler_release.cpp
@@ -22,10 +22,14 @@
 {
     RunEvidence evidence{.startMayArriveUntil = run.startMayArriveUntil,
                          .absent = run.absent,
+                         .lastContact = {},
                          .replaced = false,
-                         .leasesExpireBy = {}};
+                         .leasesExpireBy = {},
+                         .lateLease = run.ticketExpiresBy ? std::chrono::milliseconds(0)
+                                                          : this->settings.longestWorkerLease};
     const auto worker = this->workers.find(run.worker);
     if (worker != this->workers.end()) {
+        evidence.lastContact = worker->second.lastContact;
         evidence.replaced = worker->second.replaced;
         evidence.leasesExpireBy = lastLeaseExpiry(worker->second) + leaseExpiryMargin;
         // An earlier leader's start that was both unanswered and delayed is not assumed for every
--- a/libs/dispatch/test/delayed_start_test.cpp
+++ b/libs/dispatch/test/delayed_start_test.cpp
@@ -185,4 +185,36 @@
     BOOST_TEST(this->first->fence.value > before.value);
 }
 
+// Guards against a second run beside one that a silent worker's next incarnation began at the last
+// moment: nobody has heard of that, and the start has given it the longest lease.
+BOOST_FIXTURE_TEST_CASE(WaitsForTheLeaseOfAStartThatArrivesAtTheLastMoment, DelayedStartFixture)
+{
+    this->first->unresponsive = true;
+    this->run(14'000ms);
+    BOOST_TEST(!this->runsElsewhere());
+    this->restartFirst();
+    this->first->running[this->key] = RunNumber(1);
+    this->run(5900ms);
+    BOOST_TEST(!this->runsElsewhere());
+    this->first->running.clear();
+    this->run(4000ms);
+    BOOST_TEST(this->runsElsewhere());
+    BOOST_TEST(this->workers.violations.empty());
+}
+
+// Guards against the same if the restart was announced before the worker fell silent.
+BOOST_FIXTURE_TEST_CASE(WaitsForTheLeaseOfALateStartOnAnIncarnationThatFellSilent,
+                        DelayedStartFixture)
+{
+    this->run(1000ms);
+    this->restartFirst();
+    this->first->unresponsive = true;
+    this->announce(this->first->record.id, [](WorkerRecord & /*record*/) {});
+    this->run(12'500ms);
+    this->first->running[this->key] = RunNumber(1);
+    this->run(5900ms);
+    BOOST_TEST(!this->runsElsewhere());
+    BOOST_TEST(this->workers.violations.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
