Repeat a stop that an earlier incarnation of the worker answered

Cause: the answer to a stop was noted whichever incarnation had given it. If the worker restarts and carries out a delayed copy of the start, its predecessor's answer kept the leader from stopping that run.

Change: an answer counts only if it comes from the present incarnation; otherwise the stop is sent again.

--- a/libs/dispatch/include/dispatch/upstream_scheduler.h
+++ b/libs/dispatch/include/dispatch/upstream_scheduler.h
@@ -249,7 +249,8 @@
      * being stored, or the run is ending.
      */
     void requestStop(const TaskKey &key, LiveRun &run, Effects &effects);
-    void onStopReply(const TaskKey &key, RunNumber run, const InstanceId &id, const Status &status,
+    /** The answer of an incarnation that has ended says nothing of the present one. */
+    void onStopReply(const StopOrder &order, const WorkerRef &recipient, const Status &status,
                      Effects &effects);
     /**
      * Removes a run that neither executes nor can start any more, so that its task can run again.
--- a/libs/dispatch/src/upstream_scheduler_runs.cpp
+++ b/libs/dispatch/src/upstream_scheduler_runs.cpp
@@ -292,9 +292,7 @@
         .task = key, .run = run.number, .fence = fencingToken(this->term, worker->second.restarts)};
     effects.push_back([self = this->shared_from_this(), ref, order]() {
         const auto answer = [self, ref, order](const Status &status) {
-            self->runLocked([&](Effects &later) {
-                self->onStopReply(order.task, order.run, ref.id, status, later);
-            });
+            self->runLocked([&](Effects &later) { self->onStopReply(order, ref, status, later); });
         };
         if (!self->context.log.holdsLease()) {
             answer(Error{.code = ErrorCode::NotLeader,
@@ -308,17 +306,22 @@
     });
 }
 
-void UpstreamScheduler::onStopReply(const TaskKey &key, RunNumber run, const InstanceId &id,
+void UpstreamScheduler::onStopReply(const StopOrder &order, const WorkerRef &recipient,
                                     const Status &status, Effects &effects)
 {
+    const TaskKey key = order.task;
+    const RunNumber run = order.run;
     LiveTask *task = this->findTask(key);
-    if (task == nullptr || !task->run || task->run->number != run || task->run->worker != id) {
+    if (task == nullptr || !task->run || task->run->number != run
+        || task->run->worker != recipient.id) {
         return;
     }
     task->run->stopInFlight = false;
-    if (ok(status)) {
+    const auto worker = this->workers.find(recipient.id);
+    const bool restarted = worker != this->workers.end()
+        && worker->second.record.incarnation != recipient.incarnation;
+    if (ok(status) && !restarted) {
         task->run->stopAnsweredAt = this->context.clock.steadyNow();
-        const auto worker = this->workers.find(id);
         if (worker != this->workers.end()) {
             this->renewLeaseIfNeeded(worker->second, effects);
         }
--- a/libs/dispatch/test/delayed_start_test.cpp
+++ b/libs/dispatch/test/delayed_start_test.cpp
@@ -217,4 +217,21 @@
     BOOST_TEST(this->workers.violations.empty());
 }
 
+// Guards against a cancelled task that runs on: the answer to the stop came from an incarnation
+// that had ended, while the next one had carried out a delayed copy of the start.
+BOOST_FIXTURE_TEST_CASE(RepeatsAStopThatAnEarlierIncarnationAnswered, DelayedStartFixture)
+{
+    this->first->startsUnanswered = false;
+    this->run(1000ms);
+    BOOST_REQUIRE(this->first->running.contains(this->key));
+    BOOST_REQUIRE(!this->workers.delayedStarts.empty());
+    this->cancel(WorkflowId("a"));
+    this->restartFirst();
+    this->workers.deliverDelayedStarts();
+    BOOST_REQUIRE(this->first->running.contains(this->key));
+    this->announce(this->first->record.id, [](WorkerRecord & /*record*/) {});
+    this->run(3000ms);
+    BOOST_TEST(!this->first->running.contains(this->key));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
