Take only a plain refusal of a peer for "not run"

Cause: a request counted as not run if the peer's answer was neither an answer frame nor "unknown", so also if it was empty or damaged. A caller that had closed its connection was told 503 for its submission, though another node may have a copy.

Change: any other answer leaves the outcome unknown; a submission whose caller has left gets 504.

--- a/libs/cluster/src/cluster_node.cpp
+++ b/libs/cluster/src/cluster_node.cpp
@@ -164,7 +164,9 @@
         // The caller may have cancelled the submission, or learned that it isn't known, since.
         spdlog::info("event=caller-left path={}", request.path);
         CallerReply reply;
-        reply.outcome = CallerOutcome::Unavailable;
+        // Another node may have a copy of a submission.
+        reply.outcome = request.action == CallerAction::Submit ? CallerOutcome::OutcomeUnknown
+                                                               : CallerOutcome::Unavailable;
         reply.message = "the caller has closed the connection";
         done(reply);
         return;
--- a/libs/cluster/src/leader_requests.cpp
+++ b/libs/cluster/src/leader_requests.cpp
@@ -212,9 +212,10 @@
                 done(answer.substr(1));
                 return;
             }
-            const bool unknown = answer == std::string{refusalFrame, 'u'};
+            // Anything but a plain refusal may come from a node that has passed the request on.
+            const bool refused = answer == std::string{refusalFrame};
             Error error = linkError(ErrorCode::NotLeader, "the node refused the request",
-                                    unknown ? Outcome::Unknown : Outcome::NotRun);
+                                    refused ? Outcome::NotRun : Outcome::Unknown);
             error.peer = node.value;
             done(error);
         });
