Log the starts of a lost run and whether its worker has reported it

run-lost named the incarnations of run and worker, which are equal both for a run that was executed where it was meant to be and for one that an incarnation took of which the leader had not heard.

--- a/libs/dispatch/src/upstream_scheduler_release.cpp
+++ b/libs/dispatch/src/upstream_scheduler_release.cpp
@@ -62,14 +62,15 @@
         granted = worker->second.leaseGranted;
         present = worker->second.record.incarnation;
     }
-    // A run of an earlier incarnation than the present one tells of a restart.
-    spdlog::info("event=run-lost task={} run={} worker={} reason={} phase={} silence={}ms "
-                 "granted={} incarnation={} present={}",
-                 toString(key), run.number.value, run.worker.value, reason,
-                 static_cast<int>(run.phase),
-                 std::chrono::duration_cast<std::chrono::milliseconds>(silence).count(),
-                 granted.time_since_epoch().count(), run.incarnation.time_since_epoch().count(),
-                 present.time_since_epoch().count());
+    // A run of an earlier incarnation than the present one tells of a restart, and a start without
+    // an answer of one that may have arrived in an incarnation that is not known.
+    spdlog::info(
+        "event=run-lost task={} run={} worker={} reason={} phase={} silence={}ms "
+        "granted={} incarnation={} present={} reported={} starts={} unanswered={}",
+        toString(key), run.number.value, run.worker.value, reason, static_cast<int>(run.phase),
+        std::chrono::duration_cast<std::chrono::milliseconds>(silence).count(),
+        granted.time_since_epoch().count(), run.incarnation.time_since_epoch().count(),
+        present.time_since_epoch().count(), run.reported, run.startsSent, run.unansweredStarts);
     this->heldRuns.erase(key);
     this->stopGang(key, run.number, effects);
     this->releaseRun(key, effects);
