Take the clock in the answer to a start for a sign of a restart

A worker that restarts under its id takes starts that are meant for its earlier incarnation, and the answer names none. The lease end in such a start is a time on the earlier clock; if the new one shows less, the worker holds the longest lease, while the leader reckons with the usual one. When the worker is cut off before a heartbeat or a report tells of the restart, the leader gives the run up 5 s too early (isOver with a lease that is too short).

The clock in the answer now has to fit the clock of the incarnation that the leader knows. If it shows less, the leader expects the longest lease, places nothing there and asks for a report with a raised token at once, also while a renewal to the earlier incarnation still waits. If it fits, the lease that was reckoned with holds on it as well.

--- a/libs/dispatch/include/dispatch/upstream_scheduler.h
+++ b/libs/dispatch/include/dispatch/upstream_scheduler.h
@@ -165,6 +165,17 @@
     SteadyTime recoveredStartArrival(const LiveWorkflow &workflow) const;
     /** Resets the worker for a new incarnation and releases runs that ended with the old one. */
     void beginIncarnation(UpstreamWorker &worker, const WorkerRecord &record, Effects &effects);
+    /**
+     * Takes what the clock in the answer to a start tells of the worker's incarnation and of its
+     * lease. Returns whether another incarnation may have answered.
+     */
+    bool recordStartClock(UpstreamWorker &worker, const SentStart &sent, const StartReply &reply,
+                          Effects &effects);
+    /**
+     * Asks the worker for its incarnation, as one that the leader has not heard of may have
+     * answered. The worker gets no tasks until it has answered.
+     */
+    void expectRestart(UpstreamWorker &worker, Effects &effects);
     /**
      * Releases all runs of a worker at whose address another one answers. That one refuses all
      * orders to this worker, so nothing of it executes or can begin any more.
@@ -242,8 +253,9 @@
                            const Error &error, Effects &effects);
     void onStartRefused(const TaskKey &key, const Result<StartReply> &result,
                         UpstreamWorker &worker, Effects &effects);
-    void onStartReply(const TaskKey &key, RunNumber run, const InstanceId &id,
-                      const Result<StartReply> &result, Effects &effects);
+    void onStartReply(const SentStart &sent, const Result<StartReply> &result, Effects &effects);
+    /** The worker has begun the run, or another incarnation of it than the start was meant for. */
+    void onStarted(const SentStart &sent, LiveRun &run, bool restarted) const;
     /**
      * Marks the run for stopping, and sends a stop unless one is pending, the assignment is still
      * being stored, or the run is ending.
--- a/libs/dispatch/include/dispatch/upstream_worker.h
+++ b/libs/dispatch/include/dispatch/upstream_worker.h
@@ -113,10 +113,22 @@
 {
     InstanceId worker;
     WorkerIncarnation incarnation;
+    FencingToken fence;
     SteadyTime sentAt;
     std::uint64_t acknowledgedEnds = 0;
 };
 
+/** What the answer to a start refers to. */
+struct SentStart
+{
+    TaskKey task;
+    RunNumber run;
+    InstanceId worker;
+    /** The incarnation that the leader knew when it sent the start. */
+    WorkerIncarnation incarnation;
+    SteadyTime sentAt;
+};
+
 /**
  * Returns the local time by which a lease of this length, which the worker receives now, has
  * expired on the worker, given the largest clock lag.
@@ -149,6 +161,14 @@
 /** Returns the local time by which every lease that the worker may hold has expired. */
 SteadyTime lastLeaseExpiry(const UpstreamWorker &worker);
 
+/**
+ * Returns whether the clock in a worker's answer to an order, which was sent then, shows less than
+ * the clock of the incarnation that gave the reading. Another incarnation has answered then, and
+ * lease ends on the earlier clock are further ahead on its own. A worker's answer to a start names
+ * no incarnation, so its clock is the only sign.
+ */
+bool isFromAnotherClock(const ClockReading &reading, WorkerTime answered, SteadyTime sentAt);
+
 /** Returns whether the successor has another id, and began later at the same address. */
 bool isReplacedBy(const WorkerRecord &worker, const WorkerRecord &successor);
 
--- a/libs/dispatch/src/upstream_scheduler_runs.cpp
+++ b/libs/dispatch/src/upstream_scheduler_runs.cpp
@@ -142,14 +142,16 @@
                         .address = worker.record.address,
                         .incarnation = worker.record.incarnation};
     effects.push_back([self = this->shared_from_this(), ref, order]() {
-        const auto answer
-            = [self, key = order.task, run = order.run, id = ref.id,
-               sentAt = self->context.clock.steadyNow()](const Result<StartReply> &result) {
-                  const Duration elapsed = self->context.clock.steadyNow() - sentAt;
-                  self->context.observer.orderAnswered("start", ok(result), elapsed);
-                  self->runLocked(
-                      [&](Effects &later) { self->onStartReply(key, run, id, result, later); });
-              };
+        const SentStart sent{.task = order.task,
+                             .run = order.run,
+                             .worker = ref.id,
+                             .incarnation = ref.incarnation,
+                             .sentAt = self->context.clock.steadyNow()};
+        const auto answer = [self, sent](const Result<StartReply> &result) {
+            const Duration elapsed = self->context.clock.steadyNow() - sent.sentAt;
+            self->context.observer.orderAnswered("start", ok(result), elapsed);
+            self->runLocked([&](Effects &later) { self->onStartReply(sent, result, later); });
+        };
         if (!self->context.log.holdsLease()) {
             answer(Error{.code = ErrorCode::NotLeader,
                          .step = Step::Send,
@@ -163,19 +165,23 @@
     this->renewLeaseIfNeeded(worker, effects);
 }
 
-void UpstreamScheduler::onStartReply(const TaskKey &key, RunNumber run, const InstanceId &id,
-                                     const Result<StartReply> &result, Effects &effects)
+void UpstreamScheduler::onStartReply(const SentStart &sent, const Result<StartReply> &result,
+                                     Effects &effects)
 {
     const bool started = ok(result) && valueOf(result).result == StartResult::Started;
     LiveWorkflow *workflow = nullptr;
-    LiveStep *step = nullptr;
-    LiveTask *task = this->findTask(key, &workflow, &step);
+    LiveTask *task = this->findTask(sent.task, &workflow);
     if (started && task != nullptr) {
         this->confirmStart(*workflow);
     }
-    const auto worker = this->workers.find(id);
-    if (task == nullptr || !task->run || task->run->number != run || task->run->worker != id
-        || worker == this->workers.end()) {
+    const auto worker = this->workers.find(sent.worker);
+    if (worker == this->workers.end()) {
+        return;
+    }
+    const bool restarted
+        = ok(result) && this->recordStartClock(worker->second, sent, valueOf(result), effects);
+    if (task == nullptr || !task->run || task->run->number != sent.run
+        || task->run->worker != sent.worker) {
         return;
     }
     LiveRun &live = *task->run;
@@ -187,17 +193,24 @@
         return;
     }
     if (started) {
-        spdlog::debug("event=run-confirmed task={} run={} worker={} incarnation={}", toString(key),
-                      run.value, id.value, live.incarnation.time_since_epoch().count());
-        if (live.phase == RunPhase::Ordered) {
-            live.phase = RunPhase::Running;
-            live.since = this->context.clock.steadyNow();
-        }
+        this->onStarted(sent, live, restarted);
         worker->second.lastContact = this->context.clock.steadyNow();
     } else if (!answered) {
-        this->onStartUnanswered(key, *task, worker->second, errorOf(result), effects);
+        this->onStartUnanswered(sent.task, *task, worker->second, errorOf(result), effects);
     } else {
-        this->onStartRefused(key, result, worker->second, effects);
+        this->onStartRefused(sent.task, result, worker->second, effects);
+    }
+}
+
+void UpstreamScheduler::onStarted(const SentStart &sent, LiveRun &run, bool restarted) const
+{
+    spdlog::debug("event=run-confirmed task={} run={} worker={} incarnation={} restarted={}",
+                  toString(sent.task), sent.run.value, sent.worker.value,
+                  run.incarnation.time_since_epoch().count(), restarted);
+    if (run.phase == RunPhase::Ordered) {
+        // If the worker may have restarted, its next report tells whether it executes the run.
+        run.phase = restarted ? RunPhase::Recovered : RunPhase::Running;
+        run.since = this->context.clock.steadyNow();
     }
 }
 
@@ -205,7 +218,7 @@
                                        const StepSpec &spec) const
 {
     return run.startsSent < (spec.gang ? maxGangStarts : maxStarts) && !run.stopRequested
-        && !worker.lastRenewalFailed && !worker.left
+        && !worker.lastRenewalFailed && !worker.left && worker.clock
         && (!run.ticketExpiresBy || this->context.clock.steadyNow() <= run.ticketUsableUntil);
 }
 
--- a/libs/dispatch/src/upstream_scheduler_workers.cpp
+++ b/libs/dispatch/src/upstream_scheduler_workers.cpp
@@ -181,6 +181,54 @@
     }
 }
 
+bool UpstreamScheduler::recordStartClock(UpstreamWorker &worker, const SentStart &sent,
+                                         const StartReply &reply, Effects &effects)
+{
+    const bool started = reply.result == StartResult::Started;
+    if (!worker.fenceConfirmed || sent.incarnation != worker.record.incarnation) {
+        if (started) {
+            // The incarnation that took the start may have a lease end on an earlier clock.
+            this->expectEarlierOrders(worker);
+        }
+        return started;
+    }
+    const bool restarted = reply.clock && worker.clock
+        ? isFromAnotherClock(*worker.clock, *reply.clock, sent.sentAt)
+        : started;
+    if (!restarted) {
+        if (reply.clock) {
+            const ClockReading reading{.clock = *reply.clock,
+                                       .at = this->context.clock.steadyNow()};
+            worker.leaseExpiresBy
+                = std::max(worker.leaseExpiresBy, latestLeaseExpiry(reading, worker.leaseGranted));
+        }
+        return false;
+    }
+    spdlog::info(
+        "event=worker-restart-suspected worker={} incarnation={} task={} run={} clock={} "
+        "expected={}",
+        sent.worker.value, sent.incarnation.time_since_epoch().count(), toString(sent.task),
+        sent.run.value, reply.clock.value_or(WorkerTime{}).time_since_epoch().count(),
+        worker.clock ? earliestWorkerTime(*worker.clock, sent.sentAt).time_since_epoch().count()
+                     : 0);
+    this->expectRestart(worker, effects);
+    return true;
+}
+
+void UpstreamScheduler::expectRestart(UpstreamWorker &worker, Effects &effects)
+{
+    this->expectEarlierOrders(worker);
+    worker.lastContact = this->context.clock.steadyNow();
+    worker.clock.reset();
+    worker.fenceConfirmed = false;
+    worker.lastRenewalAnswered = false;
+    // The answers to renewals with the earlier token are ignored: the earlier incarnation may have
+    // given them.
+    ++worker.restarts;
+    worker.renewalInFlight = false;
+    this->renewLeaseIfNeeded(worker, effects);
+}
+
 void UpstreamScheduler::heartbeatReceived(const InstanceId &id, WorkerIncarnation incarnation,
                                           std::optional<WorkerTime> clock)
 {
@@ -274,6 +322,7 @@
     worker.lastRenewalAnswered = false;
     const SentRenewal sent{.worker = ref.id,
                            .incarnation = ref.incarnation,
+                           .fence = order.fence,
                            .sentAt = now,
                            .acknowledgedEnds = order.acknowledgedEnds};
     effects.push_back([self = this->shared_from_this(), ref, order, sent]() {
@@ -301,7 +350,8 @@
 {
     const InstanceId id = sent.worker;
     const auto found = this->workers.find(id);
-    if (found == this->workers.end() || found->second.record.incarnation != sent.incarnation) {
+    if (found == this->workers.end() || found->second.record.incarnation != sent.incarnation
+        || fencingToken(this->term, found->second.restarts) != sent.fence) {
         return;
     }
     UpstreamWorker &worker = found->second;
--- a/libs/dispatch/src/upstream_worker.cpp
+++ b/libs/dispatch/src/upstream_worker.cpp
@@ -57,6 +57,11 @@
     return std::max(worker.leaseExpiresBy, worker.earlierLeasesExpireBy);
 }
 
+bool isFromAnotherClock(const ClockReading &reading, WorkerTime answered, SteadyTime sentAt)
+{
+    return answered < earliestWorkerTime(reading, sentAt);
+}
+
 bool isReplacedBy(const WorkerRecord &worker, const WorkerRecord &successor)
 {
     // The addresses of workers that have left are not known.
--- a/libs/dispatch/test/delayed_start_test.cpp
+++ b/libs/dispatch/test/delayed_start_test.cpp
@@ -37,14 +37,8 @@
     /** Restarts the first worker under its id; nobody knows of it yet. */
     void restartFirst() const
     {
-        this->first->running.clear();
-        this->first->ended.clear();
-        this->first->refusedRuns.clear();
-        this->first->lastEnd = 0;
-        this->first->acknowledged = 0;
-        this->first->fence = FencingToken(0);
+        this->workers.restartUnseen(*this->first);
         this->first->startsUnanswered = false;
-        this->first->record.incarnation += 5s;
     }
 
     bool runsElsewhere() const
--- a/libs/dispatch/test/dispatch_fixture.cpp
+++ b/libs/dispatch/test/dispatch_fixture.cpp
@@ -94,11 +94,23 @@
 {
 }
 
-WorkerTime FakeWorkers::clockNow() const
+WorkerTime FakeWorkers::clockOf(const FakeWorker &worker) const
 {
     return WorkerTime(std::chrono::duration_cast<std::chrono::milliseconds>(
                           this->clock.steadyNow().time_since_epoch())
-                      + std::chrono::hours(1));
+                      + std::chrono::hours(1) + worker.clockOffset);
+}
+
+void FakeWorkers::restartUnseen(FakeWorker &worker) const
+{
+    worker.running.clear();
+    worker.ended.clear();
+    worker.refusedRuns.clear();
+    worker.lastEnd = 0;
+    worker.acknowledged = 0;
+    worker.fence = FencingToken(0);
+    worker.leaseEnd = WorkerTime{};
+    worker.record.incarnation += std::chrono::seconds(5);
 }
 
 FakeWorker &FakeWorkers::add(const WorkerRecord &record)
@@ -114,7 +126,7 @@
         return StartResult::Fenced;
     }
     worker.fence = order.fence;
-    if (order.leaseEnd <= this->clockNow()) {
+    if (order.leaseEnd <= this->clockOf(worker)) {
         return StartResult::LeaseExpired;
     }
     const auto refusedRun = worker.refusedRuns.find(order.task);
@@ -156,7 +168,7 @@
         = this->acceptsAnyIncarnation || worker.record.incarnation == ref.incarnation;
     const StartReply reply{.result = addressed ? this->applyStart(worker, order)
                                                : StartResult::OtherIncarnation,
-                           .clock = this->clockNow()};
+                           .clock = this->clockOf(worker)};
     this->timers.schedule()(std::chrono::milliseconds(1), [done, reply]() { done(reply); });
 }
 
@@ -208,7 +220,7 @@
             return;
         }
         LeaseRenewalReply report;
-        report.clock = this->clockNow();
+        report.clock = this->clockOf(known);
         report.incarnation = known.record.incarnation;
         report.ended = known.ended;
         for (const auto &[task, run] : known.running) {
--- a/libs/dispatch/test/dispatch_fixture.h
+++ b/libs/dispatch/test/dispatch_fixture.h
@@ -64,6 +64,9 @@
     std::map<TaskKey, RunNumber> refusedRuns;
     FencingToken fence;
     WorkerTime leaseEnd;
+    /** What the worker's clock shows beyond the clock of the others; each incarnation has its own.
+     */
+    std::chrono::milliseconds clockOffset{0};
     std::uint64_t lastEnd = 0;
     std::uint64_t acknowledged = 0;
     /**
@@ -104,8 +107,9 @@
     /** Carries out the starts that got no answer. */
     void deliverDelayedStarts();
     std::size_t runningTasks() const;
-    /** The time on the clock of all workers. */
-    WorkerTime clockNow() const;
+    WorkerTime clockOf(const FakeWorker &worker) const;
+    /** Begins the worker's next incarnation, which knows nothing of before; nobody hears of it. */
+    void restartUnseen(FakeWorker &worker) const;
 
     std::map<InstanceId, FakeWorker> workers;
     std::vector<std::string> violations;
--- a/libs/dispatch/test/recovery_test.cpp
+++ b/libs/dispatch/test/recovery_test.cpp
@@ -195,7 +195,7 @@
     cell.timers.advance(70ms);
     // The report of an end delays the next renewal beyond the next check of leases.
     cell.workers.end(worker.record.id, DispatchFixture::task(id, 0), EndKind::Done);
-    cell.dispatcher.heartbeatReceived(worker.record, cell.workers.clockNow() - 7s);
+    cell.dispatcher.heartbeatReceived(worker.record, cell.workers.clockOf(worker) - 7s);
     cell.timers.advance(60ms);
     BOOST_TEST(worker.starts == 2U);
     cell.run(1000ms);
