Wait for the longest lease of a ticketed start without an answer

The rule took no longest lease for a start with a ticket, since the worker would have to restart unseen within the 1.5 s for which tickets are valid.

isOver now treats starts with and without tickets alike: after the last moment at which the start can arrive, the longest lease counts, unless the worker's present incarnation has been heard of since.

DelayedStartTest/WaitsForTheLongestLeaseOfATicketedStartWithoutAnAnswer failed before: the task ran elsewhere after 4.9 s.

--- a/libs/dispatch/include/dispatch/run_evidence.h
+++ b/libs/dispatch/include/dispatch/run_evidence.h
@@ -40,8 +40,8 @@
     /** When every lease from orders that have arrived by now has certainly expired. */
     SteadyTime leasesExpireBy;
     /**
-     * The lease that a start may bring that is carried out late. Zero for a start with a ticket: it
-     * expires so soon that the worker would have to restart unseen within a second or two.
+     * The lease that a start without an answer may bring to an incarnation that nobody has heard
+     * of: its lease end is a time on another clock.
      */
     std::chrono::milliseconds lateLease{0};
 };
--- a/libs/dispatch/src/upstream_scheduler_release.cpp
+++ b/libs/dispatch/src/upstream_scheduler_release.cpp
@@ -25,8 +25,7 @@
                          .lastContact = {},
                          .replaced = false,
                          .leasesExpireBy = {},
-                         .lateLease = run.ticketExpiresBy ? std::chrono::milliseconds(0)
-                                                          : this->settings.longestWorkerLease};
+                         .lateLease = this->settings.longestWorkerLease};
     const auto worker = this->workers.find(run.worker);
     if (worker != this->workers.end()) {
         evidence.lastContact = worker->second.lastContact;
--- a/libs/dispatch/test/delayed_start_test.cpp
+++ b/libs/dispatch/test/delayed_start_test.cpp
@@ -161,6 +161,24 @@
     BOOST_TEST(this->runsElsewhere());
 }
 
+// Guards against a second run beside one that an incarnation took of which nobody had heard, while
+// the ticket of the start was valid: the lease end, a time on another clock, gave it the longest
+// lease.
+BOOST_FIXTURE_TEST_CASE(WaitsForTheLongestLeaseOfATicketedStartWithoutAnAnswer,
+                        TicketedStartFixture)
+{
+    this->first->unresponsive = true;
+    this->run(500ms);
+    this->restartFirst();
+    this->first->running[this->key] = RunNumber(1);
+    this->run(5900ms);
+    BOOST_TEST(!this->runsElsewhere());
+    this->first->running.clear();
+    this->run(3000ms);
+    BOOST_TEST(this->runsElsewhere());
+    BOOST_TEST(this->workers.violations.empty());
+}
+
 // Guards against equal tokens for two incarnations of a worker that left in between: the second one
 // carried out the start that was sent to the first.
 BOOST_FIXTURE_TEST_CASE(RaisesTheTokenOfAWorkerThatReturnsAfterItHasLeft, DelayedStartFixture)
