Ask the next incarnation for a run that had starts without an answer

A run that the earlier incarnation had reported was taken for ended with it as soon as no copy of its start could arrive any more. A copy may have arrived in the next incarnation before that, and the task then ran twice. Only the next report tells; it comes within milliseconds of the restart.

DelayedStartTest/AsksTheNextIncarnationForARunIfOneOfItsStartsHadNoAnswer failed before: the task was started on the other worker while the next incarnation executed it.

--- a/libs/dispatch/src/upstream_scheduler_workers.cpp
+++ b/libs/dispatch/src/upstream_scheduler_workers.cpp
@@ -163,9 +163,9 @@
         if (run.phase == RunPhase::Proposed) {
             continue;
         }
-        // The answer to a start does not tell which incarnation of the worker gave it.
-        const bool endedBefore
-            = run.reported && (run.unansweredStarts == 0 || now > run.startMayArriveUntil);
+        // The answer to a start does not tell which incarnation of the worker gave it, and a start
+        // without an answer may have reached this one by now.
+        const bool endedBefore = run.reported && run.unansweredStarts == 0;
         run.reported = false;
         run.absent = false;
         if (endedBefore) {
--- a/libs/dispatch/test/delayed_start_test.cpp
+++ b/libs/dispatch/test/delayed_start_test.cpp
@@ -179,6 +179,27 @@
     BOOST_TEST(this->workers.violations.empty());
 }
 
+// Guards against a run that is taken for ended with the incarnation that had reported it: an
+// earlier copy of its start had reached the next one while the ticket was valid.
+BOOST_FIXTURE_TEST_CASE(AsksTheNextIncarnationForARunIfOneOfItsStartsHadNoAnswer,
+                        TicketedStartFixture)
+{
+    this->first->startsUnanswered = false;
+    this->run(900ms);
+    BOOST_REQUIRE(this->first->running.contains(this->key));
+    BOOST_REQUIRE(!this->workers.delayedStarts.empty());
+    this->restartFirst();
+    this->workers.deliverDelayedStarts();
+    this->first->renewalsUnanswered = true;
+    this->run(800ms);
+    this->first->renewalsUnanswered = false;
+    this->announce(this->first->record.id, [](WorkerRecord & /*record*/) {});
+    this->run(3000ms);
+    BOOST_TEST(this->workers.runningTasks() == 1U);
+    BOOST_TEST(this->first->running.contains(this->key));
+    BOOST_TEST(this->workers.violations.empty());
+}
+
 // Guards against equal tokens for two incarnations of a worker that left in between: the second one
 // carried out the start that was sent to the first.
 BOOST_FIXTURE_TEST_CASE(RaisesTheTokenOfAWorkerThatReturnsAfterItHasLeft, DelayedStartFixture)
