Repeat no lease end to a worker that does not answer

A renewal that got no answer was repeated with the same lease end, so as not to extend the worker's lease. Such renewals carry no lease end now; a worker that does answer gets its next lease in the renewal after that.

DelayedStartTest/GrantsNoLeaseWhileRenewalsGetNoAnswer failed before: all of them carried the end.

--- a/libs/dispatch/include/dispatch/worker_orders.h
+++ b/libs/dispatch/include/dispatch/worker_orders.h
@@ -87,6 +87,7 @@
 /** Renews the lease of all runs on a worker and requests a report of running and ended runs. */
 struct LeaseRenewalOrder
 {
+    /** The end of the lease; zero if the order leaves the worker's lease as it is. */
     WorkerTime leaseEnd;
     FencingToken fence;
     /** The leader has stored all ends up to this number; the worker may forget them. */
--- a/libs/dispatch/src/upstream_scheduler_workers.cpp
+++ b/libs/dispatch/src/upstream_scheduler_workers.cpp
@@ -307,14 +307,13 @@
                             .wait = worker.fenceConfirmed && worker.clock && !worker.runs.empty()
                                 ? this->settings.renewalWait
                                 : std::chrono::milliseconds(0)};
-    if (worker.clock) {
-        // A lease that an unresponsive worker may have received delays running its tasks elsewhere,
-        // so the lease is extended only while the worker answers, and not once it leaves.
-        const bool extends
-            = !worker.left && (!worker.lastRenewalFailed || worker.leaseGranted == WorkerTime{});
-        order.leaseEnd = extends
-            ? earliestWorkerTime(*worker.clock, now) + this->settings.workerLease
-            : worker.leaseGranted;
+    // A lease that an unresponsive worker may have received delays running its tasks elsewhere, so
+    // the lease is extended only while the worker answers, and not once it leaves. An earlier lease
+    // end is not repeated: an incarnation with another clock would take it for the longest lease.
+    const bool extends
+        = !worker.left && (!worker.lastRenewalFailed || worker.leaseGranted == WorkerTime{});
+    if (worker.clock && extends) {
+        order.leaseEnd = earliestWorkerTime(*worker.clock, now) + this->settings.workerLease;
         worker.leaseGranted = std::max(worker.leaseGranted, order.leaseEnd);
         worker.leaseExpiresBy = std::max(worker.leaseExpiresBy,
                                          latestLeaseExpiry(*worker.clock, worker.leaseGranted));
--- a/libs/dispatch/test/delayed_start_test.cpp
+++ b/libs/dispatch/test/delayed_start_test.cpp
@@ -200,6 +200,21 @@
     BOOST_TEST(this->workers.violations.empty());
 }
 
+// Guards against a lease that renewals without an answer prolong for an incarnation that nobody
+// has heard of: their end, a time on another clock, gives it the longest lease each time.
+BOOST_FIXTURE_TEST_CASE(GrantsNoLeaseWhileRenewalsGetNoAnswer, DelayedStartFixture)
+{
+    this->first->startsUnanswered = false;
+    this->run(1000ms);
+    BOOST_REQUIRE(this->first->leaseOffered > WorkerTime{});
+    this->first->renewalsUnanswered = true;
+    this->run(2500ms);
+    const std::size_t renewals = this->first->renewals;
+    this->run(2000ms);
+    BOOST_TEST(this->first->renewals > renewals);
+    BOOST_TEST((this->first->leaseOffered == WorkerTime{}));
+}
+
 // Guards against equal tokens for two incarnations of a worker that left in between: the second one
 // carried out the start that was sent to the first.
 BOOST_FIXTURE_TEST_CASE(RaisesTheTokenOfAWorkerThatReturnsAfterItHasLeft, DelayedStartFixture)
--- a/libs/dispatch/test/dispatch_fixture.cpp
+++ b/libs/dispatch/test/dispatch_fixture.cpp
@@ -194,6 +194,7 @@
 {
     FakeWorker &worker = this->workers[ref.id];
     ++worker.renewals;
+    worker.leaseOffered = order.leaseEnd;
     if (worker.unresponsive || worker.renewalsUnanswered) {
         this->timers.schedule()(answerTimeout + order.wait, [done]() { done(unanswered()); });
         return;
--- a/libs/dispatch/test/dispatch_fixture.h
+++ b/libs/dispatch/test/dispatch_fixture.h
@@ -82,6 +82,8 @@
     StartResult startResult = StartResult::Started;
     std::size_t starts = 0;
     std::size_t renewals = 0;
+    /** The lease end in the last renewal that was sent to the worker. */
+    WorkerTime leaseOffered;
     std::vector<std::string> checkpoints;
 };
 
