Search orders of events with tickets, one-way cuts and unseen restarts

NeverRunsATaskTwice had no tickets, which all queues of the users' deployments need, workers announced themselves within 0.4 s, and a cut came a second after a restart at the earliest. Half of the seeds have tickets now, for one process or for all under the id; heartbeats come every 0.5 or 1.5 s; a quarter of the cuts lose only what workers send; and three in ten seeds have workers that restart and are cut off at once as their only fault.

--- a/libs/dispatch/test/sequential/run_proof_test.cpp
+++ b/libs/dispatch/test/sequential/run_proof_test.cpp
@@ -1,7 +1,7 @@
 // A search over orders of events for tasks that run twice, with the workers' own truth as the
-// oracle: crashes, returns under the same or another id, cuts, lost answers, delayed orders and
-// heartbeats, acknowledged ends, and leaders that are killed, frozen or hand over. Each seed plays
-// the scheduler's own code on a simulated clock.
+// oracle: crashes, returns under the same or another id, cuts in both directions or in one, lost
+// answers, delayed orders and heartbeats, acknowledged ends, tickets, and leaders that are killed,
+// frozen or hand over. Each seed plays the scheduler's own code on a simulated clock.
 
 #include <cstdlib>
 #include <iostream>
@@ -17,7 +17,6 @@
 namespace {
 
 constexpr std::size_t machineCount = 6;
-constexpr std::chrono::milliseconds heartbeatInterval{500};
 
 ManualClock &advancedClock(ManualClock &clock)
 {
@@ -51,12 +50,20 @@
         queue.name = "queue";
         queue.upstream = "upstream";
         queue.attempts = 100;
+        const auto rule = this->workers.between(1, 4).count();
+        if (rule > 2) {
+            this->workers.ticketRule = rule == 3 ? TicketRule::ForProcess : TicketRule::ForId;
+            queue.advice
+                = AdviserTiming{.decision = 10ms, .timePerWorker = 1ms, .ticketValidity = 1500ms};
+        }
         config.queues.push_back(queue);
         config.upstreams.push_back(UpstreamRule{.name = "upstream",
                                                 .workersEnforceCapacity = false,
                                                 .standby = false,
                                                 .healthPath = {}});
         this->keepers.commit(PutConfig{.config = config});
+        this->mostlyRestarts = this->workers.chance(30);
+        this->heartbeatInterval = this->workers.chance(50) ? 500ms : 1500ms;
         for (std::uint16_t number = 0; number < machineCount; ++number) {
             WorkerRecord worker;
             worker.address = Address{.host = "127.0.0.1", .port = number};
@@ -65,7 +72,7 @@
                                         .memory = Bytes(64'000),
                                         .accelerators = AcceleratorCount(0),
                                         .slots = SlotCount(0)};
-            this->workers.addMachine(worker);
+            this->workers.addMachine(worker, this->heartbeatInterval);
         }
     }
 
@@ -102,11 +109,11 @@
     void heartbeats()
     {
         for (SimulatedWorker &worker : this->workers.machines) {
-            if (!worker.up || this->workers.isCut(worker)
+            if (!worker.up || !this->workers.isHeard(worker)
                 || this->clock.steadyNow() < worker.nextHeartbeat) {
                 continue;
             }
-            worker.nextHeartbeat = this->clock.steadyNow() + heartbeatInterval;
+            worker.nextHeartbeat = this->clock.steadyNow() + this->heartbeatInterval;
             ++worker.record.announcement;
             const bool late = this->faults && this->workers.chance(5);
             this->timers.schedule()(
@@ -123,27 +130,41 @@
             .machines[static_cast<std::size_t>(this->workers.between(0, machineCount - 1).count())];
     }
 
+    /** Cuts the worker off, or only what it sends. */
     void cut(SimulatedWorker &worker, std::chrono::milliseconds time)
     {
-        worker.cutUntil = this->clock.steadyNow() + time;
+        SteadyTime &until = this->workers.chance(75) ? worker.cutUntil : worker.mutedUntil;
+        until = this->clock.steadyNow() + time;
     }
 
-    /** Some workers restart under their ids and are cut off soon after. */
+    /** Some workers restart under their ids and are cut off soon after, perhaps before a heartbeat.
+     */
     void restartAndCut()
     {
+        const bool atOnce = this->workers.chance(50);
         for (SimulatedWorker &worker : this->workers.machines) {
             if (!worker.up || this->workers.chance(50)) {
                 continue;
             }
-            this->workers.crash(worker, this->workers.between(50, 900), true);
-            this->timers.schedule()(this->workers.between(1000, 4000), [this, &worker]() {
-                this->cut(worker, this->workers.between(3000, 9000));
-            });
+            const auto away = this->workers.between(50, 900);
+            this->workers.crash(worker, away, true);
+            const auto delay = atOnce ? away + this->workers.between(0, 1500)
+                                      : this->workers.between(1000, 4000);
+            this->timers.schedule()(
+                delay, [this, &worker]() { this->cut(worker, this->workers.between(3000, 9000)); });
         }
     }
 
     void causeFault()
     {
+        if (this->mostlyRestarts) {
+            if (this->workers.chance(10)) {
+                this->restartAndCut();
+            } else if (this->workers.chance(35)) {
+                this->submit();
+            }
+            return;
+        }
         SimulatedWorker &worker = this->anyMachine();
         const auto kind = this->workers.between(1, 100).count();
         if (kind <= 38) {
@@ -185,6 +206,7 @@
         this->workers.faults = {};
         for (SimulatedWorker &worker : this->workers.machines) {
             worker.cutUntil = SteadyTime{};
+            worker.mutedUntil = SteadyTime{};
         }
     }
 
@@ -204,6 +226,9 @@
     SimulatedWorkers workers;
     const std::chrono::milliseconds longestLease;
     SimulatedKeepers keepers;
+    std::chrono::milliseconds heartbeatInterval{500};
+    /** The only faults besides those of orders are workers that restart and are cut off. */
+    bool mostlyRestarts = false;
     bool faults = true;
     int submitted = 0;
 };
--- a/libs/dispatch/test/sequential/simulated_keepers.cpp
+++ b/libs/dispatch/test/sequential/simulated_keepers.cpp
@@ -28,9 +28,8 @@
 SimulatedKeeper::SimulatedKeeper(SimulatedKeepers &initialCell, std::size_t initialNumber)
     : cell(initialCell)
     , number(initialNumber)
-    , adviser(initialCell.timers)
-    , dispatcher(initialCell.settings, initialCell.clock, *this, this->adviser, *this, this->state,
-                 this->schedule(), this->observer)
+    , dispatcher(initialCell.settings, initialCell.clock, *this, initialCell.workers, *this,
+                 this->state, this->schedule(), this->observer)
 {
 }
 
--- a/libs/dispatch/test/sequential/simulated_keepers.h
+++ b/libs/dispatch/test/sequential/simulated_keepers.h
@@ -48,7 +48,6 @@
     const std::size_t number;
     WorkflowState state{std::chrono::minutes(3)};
     CountingObserver observer;
-    FakeAdviser adviser;
     /** Until then, the node may act as the leader. */
     SteadyTime leaseEnd;
     SteadyTime frozenUntil;
--- a/libs/dispatch/test/sequential/simulated_workers.cpp
+++ b/libs/dispatch/test/sequential/simulated_workers.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds orderTimeout{800};
+constexpr std::chrono::milliseconds ticketValidity{1500};
 
 Error noAnswer()
 {
@@ -53,6 +54,11 @@
     return this->clock.steadyNow() < worker.cutUntil;
 }
 
+bool SimulatedWorkers::isHeard(const SimulatedWorker &worker) const
+{
+    return !this->isCut(worker) && this->clock.steadyNow() >= worker.mutedUntil;
+}
+
 SimulatedWorker *SimulatedWorkers::findByAddress(const Address &address)
 {
     const auto found = std::find_if(
@@ -61,9 +67,11 @@
     return found == this->machines.end() ? nullptr : &*found;
 }
 
-void SimulatedWorkers::addMachine(const WorkerRecord &record)
+void SimulatedWorkers::addMachine(const WorkerRecord &record,
+                                  std::chrono::milliseconds heartbeatInterval)
 {
     SimulatedWorker worker;
+    worker.heartbeatInterval = heartbeatInterval;
     worker.machine = this->machines.size();
     worker.record = record;
     worker.memory = this->chance(50) ? AcknowledgementMemory::KeepsHighest
@@ -85,7 +93,8 @@
     ++worker.processes;
     worker.startedAt = now;
     worker.firstClock = this->between(0, 60'000);
-    worker.nextHeartbeat = now + this->between(0, 400);
+    worker.nextHeartbeat
+        = now + this->between(0, static_cast<int>(worker.heartbeatInterval.count()));
     worker.fence = FencingToken(0);
     worker.leaseEnd = WorkerTime{};
     worker.running.clear();
@@ -153,6 +162,46 @@
         EndedEntry{.number = number, .task = task, .run = run, .kind = how, .checkpoint = {}});
 }
 
+std::string SimulatedWorkers::ticketFor(const SimulatedWorker &worker) const
+{
+    const auto issuedAt = std::chrono::duration_cast<std::chrono::milliseconds>(
+        this->clock.steadyNow().time_since_epoch());
+    return worker.record.id.value + '/' + std::to_string(worker.processes) + '/'
+        + std::to_string(issuedAt.count());
+}
+
+bool SimulatedWorkers::acceptsTicket(const SimulatedWorker &worker, const std::string &ticket) const
+{
+    if (this->ticketRule == TicketRule::None) {
+        return true;
+    }
+    const std::size_t process = ticket.find('/');
+    const std::size_t issued = ticket.rfind('/');
+    if (process == std::string::npos || ticket.substr(0, process) != worker.record.id.value) {
+        return false;
+    }
+    const SteadyTime issuedAt(std::chrono::milliseconds(std::stoll(ticket.substr(issued + 1))));
+    return this->clock.steadyNow() <= issuedAt + ticketValidity
+        && (this->ticketRule == TicketRule::ForId
+            || std::stoi(ticket.substr(process + 1)) == worker.processes);
+}
+
+void SimulatedWorkers::advise(const AdviceRequest &request, std::chrono::microseconds /*cost*/,
+                              std::function<void(Result<AdviceReply>)> done)
+{
+    AdviceReply reply;
+    reply.validity = ticketValidity;
+    for (const InstanceId &id : request.workers) {
+        const auto worker
+            = std::find_if(this->machines.begin(), this->machines.end(),
+                           [&](const SimulatedWorker &known) { return known.record.id == id; });
+        if (worker != this->machines.end()) {
+            reply.tickets.push_back(AdviceTicket{.worker = id, .ticket = this->ticketFor(*worker)});
+        }
+    }
+    this->timers.schedule()(this->between(5, 40), [done, reply]() { done(reply); });
+}
+
 template<typename Reply, typename Callback, typename Apply>
 void SimulatedWorkers::deliver(const WorkerRef &ref, std::chrono::milliseconds timeout,
                                Callback done, Apply apply)
@@ -170,7 +219,7 @@
     const bool sentToProcess = target != nullptr && target->up;
     const auto answer = [this, ref, finish, lost = unanswered || delayed](Reply reply) {
         const SimulatedWorker *const worker = this->findByAddress(ref.address);
-        if (lost || worker == nullptr || this->isCut(*worker)) {
+        if (lost || worker == nullptr || !this->isHeard(*worker)) {
             return;
         }
         this->timers.schedule()(this->between(0, 2), [finish, reply]() { finish(reply); });
@@ -324,6 +373,9 @@
     if (order.run <= worker.highestRun[order.task]) {
         return reply(StartResult::Superseded);
     }
+    if (!this->acceptsTicket(worker, order.ticket)) {
+        return reply(StartResult::NoTicket);
+    }
     this->oracle.started(worker.process(), order.task, order.run, restarted);
     worker.running[order.task] = SimulatedRun{
         .run = order.run,
--- a/libs/dispatch/test/sequential/simulated_workers.h
+++ b/libs/dispatch/test/sequential/simulated_workers.h
@@ -40,6 +40,9 @@
     int processes = 0;
     bool up = false;
     SteadyTime cutUntil;
+    /** Until then, what the worker sends gets lost, and what is sent to it arrives. */
+    SteadyTime mutedUntil;
+    std::chrono::milliseconds heartbeatInterval{500};
     SteadyTime startedAt;
     /** What the clock of the process showed first; any value. */
     std::chrono::milliseconds firstClock{0};
@@ -71,8 +74,15 @@
     int failedRuns = 0;
 };
 
-/** The workers of a simulated cell. */
-class SimulatedWorkers : public WorkerOrders
+/** Which starts the workers accept. */
+enum class TicketRule {
+    None, ///< All of them.
+    ForProcess, ///< With a ticket that is young enough and names the process.
+    ForId, ///< The same, but the ticket is good for all processes under the id.
+};
+
+/** The workers of a simulated cell, and the adviser that allows all of them. */
+class SimulatedWorkers : public WorkerOrders, public AdviserAccess
 {
 public:
     SimulatedWorkers(ManualClock &initialClock, FakeTimers &initialTimers, unsigned seed);
@@ -84,9 +94,18 @@
     void renewLease(const WorkerRef &ref, const LeaseRenewalOrder &order,
                     std::function<void(Result<LeaseRenewalReply>)> done) override;
 
-    void addMachine(const WorkerRecord &record);
+    void advise(const AdviceRequest &request, std::chrono::microseconds cost,
+                std::function<void(Result<AdviceReply>)> done) override;
+    std::size_t senderCount() const override
+    {
+        return 8;
+    }
+
+    void addMachine(const WorkerRecord &record, std::chrono::milliseconds heartbeatInterval);
     WorkerTime clockOf(const SimulatedWorker &worker) const;
     bool isCut(const SimulatedWorker &worker) const;
+    /** Returns whether what the worker sends arrives. */
+    bool isHeard(const SimulatedWorker &worker) const;
     /** Ends the process; another one starts after the delay. */
     void crash(SimulatedWorker &worker, std::chrono::milliseconds delay, bool returnsUnderItsId);
     /** Starts processes, ends runs and answers lease renewals that have waited. */
@@ -98,6 +117,7 @@
     WorkerFaults faults;
     /** The longest lease that the workers accept. */
     std::chrono::milliseconds longestLease{6000};
+    TicketRule ticketRule = TicketRule::None;
     std::vector<SimulatedWorker> machines;
     RunOracle oracle;
 
@@ -116,6 +136,8 @@
                  Apply apply);
     SimulatedWorker *findByAddress(const Address &address);
     void beginProcess(SimulatedWorker &worker, bool sameId);
+    std::string ticketFor(const SimulatedWorker &worker) const;
+    bool acceptsTicket(const SimulatedWorker &worker, const std::string &ticket) const;
     StartReply applyStart(SimulatedWorker &worker, const WorkerRef &ref, const StartOrder &order,
                           bool restarted);
     void applyStop(SimulatedWorker &worker, const WorkerRef &ref, const StopOrder &order);
