Take no clock from a heartbeat while a restart is expected

By reading, without a test that failed: after an answer to a start from another clock, the worker's clock is not known until it has answered a renewal. A heartbeat of the earlier incarnation that is late would set that clock again, and the next renewal would carry a lease end on it. A renewal that is due later no longer delays the one that asks for the incarnation.

--- a/libs/dispatch/src/upstream_scheduler_workers.cpp
+++ b/libs/dispatch/src/upstream_scheduler_workers.cpp
@@ -226,6 +226,7 @@
     // given them.
     ++worker.restarts;
     worker.renewalInFlight = false;
+    worker.renewalScheduled = false;
     this->renewLeaseIfNeeded(worker, effects);
 }
 
@@ -241,7 +242,8 @@
         const SteadyTime now = this->context.clock.steadyNow();
         const bool contactWasLost = now - worker.lastContact > this->settings.heartbeatTimeout;
         worker.lastContact = now;
-        if (clock && !worker.clock) {
+        // While a restart is expected, a late heartbeat may still show the earlier clock.
+        if (clock && !worker.clock && worker.leaseGranted == WorkerTime{}) {
             this->recordClock(worker, *clock, now);
         }
         if (contactWasLost) {
