Take only a later report for proof that a held run has not begun

A run whose start had no answer is held until the start can't arrive any more, and then the worker had to have been heard of. Any contact counted: a late heartbeat of the earlier incarnation, or the answer to another start, which an incarnation may have given that had begun the run. Now only a report counts that was requested after that moment and does not list the run (absentAsOf); the renewal before it ends at that moment, so the wait stays as short as it was. The margin of all lease bounds applies to late starts too.

Both new cases of DelayedStartTest failed before: the task ran elsewhere beside the run.

--- a/libs/dispatch/include/dispatch/live_workflow.h
+++ b/libs/dispatch/include/dispatch/live_workflow.h
@@ -58,6 +58,8 @@
     SteadyTime startMayArriveUntil;
     /** The worker's present incarnation neither executes the run nor will start it. */
     bool absent = false;
+    /** When the last report was requested that did not list the run. */
+    SteadyTime absentAsOf;
 };
 
 /** A task of a workflow that is not finished. */
--- a/libs/dispatch/include/dispatch/run_evidence.h
+++ b/libs/dispatch/include/dispatch/run_evidence.h
@@ -33,8 +33,8 @@
      * the incarnation goes on.
      */
     bool absent = false;
-    /** When the worker's present incarnation was last heard of. */
-    SteadyTime lastContact;
+    /** When the last report was requested that did not list the run. */
+    SteadyTime absentAsOf;
     /** Another worker answers at the address, and refuses orders to this one. */
     bool replaced = false;
     /** When every lease from orders that have arrived by now has certainly expired. */
--- a/libs/dispatch/include/dispatch/upstream_scheduler.h
+++ b/libs/dispatch/include/dispatch/upstream_scheduler.h
@@ -146,6 +146,11 @@
     // upstream_scheduler_workers.cpp: heartbeats, lease renewal and reports of workers.
     /** Sends a lease renewal unless one is pending, none is needed, or contact is lost. */
     void renewLeaseIfNeeded(UpstreamWorker &worker, Effects &effects);
+    /**
+     * Returns how long the worker may wait for an end before it answers a renewal. A renewal ends
+     * when a held run can't start any more, so that the next one is requested after that.
+     */
+    std::chrono::milliseconds renewalWaitOf(const UpstreamWorker &worker);
     void onLeaseRenewalReply(const SentRenewal &sent, const Result<LeaseRenewalReply> &result,
                              Effects &effects);
     void recordClock(UpstreamWorker &worker, WorkerTime clock, SteadyTime at);
--- a/libs/dispatch/src/run_evidence.cpp
+++ b/libs/dispatch/src/run_evidence.cpp
@@ -21,8 +21,7 @@
         return false;
     }
     // Until then, a start may have begun the run in an incarnation that nobody has heard of.
-    const bool absentSince
-        = evidence.absent && evidence.lastContact >= evidence.startMayArriveUntil;
+    const bool absentSince = evidence.absent && evidence.absentAsOf >= evidence.startMayArriveUntil;
     const bool mayHaveLateLease = evidence.lateLease.count() > 0 && !absentSince
         && evidence.startMayArriveUntil != SteadyTime{};
     if (mayHaveLateLease
--- a/libs/dispatch/src/upstream_scheduler_release.cpp
+++ b/libs/dispatch/src/upstream_scheduler_release.cpp
@@ -22,13 +22,12 @@
 {
     RunEvidence evidence{.startMayArriveUntil = run.startMayArriveUntil,
                          .absent = run.absent,
-                         .lastContact = {},
+                         .absentAsOf = run.absentAsOf,
                          .replaced = false,
                          .leasesExpireBy = {},
-                         .lateLease = this->settings.longestWorkerLease};
+                         .lateLease = this->settings.longestWorkerLease + leaseExpiryMargin};
     const auto worker = this->workers.find(run.worker);
     if (worker != this->workers.end()) {
-        evidence.lastContact = worker->second.lastContact;
         evidence.replaced = worker->second.replaced;
         evidence.leasesExpireBy = lastLeaseExpiry(worker->second) + leaseExpiryMargin;
         // An earlier leader's start that was both unanswered and delayed is not assumed for every
@@ -147,6 +146,7 @@
             && this->maySendRecoveredStart(key, worker)) {
             this->sendStart(key, *task, effects);
         } else if (absent) {
+            task->run->absentAsOf = sentAt;
             this->releaseAbsentRun(key, "not-listed", effects);
         }
     }
--- a/libs/dispatch/src/upstream_scheduler_workers.cpp
+++ b/libs/dispatch/src/upstream_scheduler_workers.cpp
@@ -289,6 +289,26 @@
     }
 }
 
+std::chrono::milliseconds UpstreamScheduler::renewalWaitOf(const UpstreamWorker &worker)
+{
+    if (!worker.fenceConfirmed || !worker.clock || worker.runs.empty()) {
+        return std::chrono::milliseconds(0);
+    }
+    std::chrono::milliseconds wait = this->settings.renewalWait;
+    if (this->heldRuns.empty()) {
+        return wait;
+    }
+    const SteadyTime now = this->context.clock.steadyNow();
+    for (const auto &[key, number] : worker.runs) {
+        const LiveTask *task = this->findTask(key);
+        if (this->heldRuns.contains(key) && task != nullptr && task->run) {
+            const Duration left = std::max(task->run->startMayArriveUntil - now, Duration::zero());
+            wait = std::min(wait, std::chrono::ceil<std::chrono::milliseconds>(left));
+        }
+    }
+    return wait;
+}
+
 void UpstreamScheduler::renewLeaseIfNeeded(UpstreamWorker &worker, Effects &effects)
 {
     const SteadyTime now = this->context.clock.steadyNow();
@@ -306,9 +326,7 @@
     LeaseRenewalOrder order{.leaseEnd = WorkerTime{},
                             .fence = fencingToken(this->term, worker.restarts),
                             .acknowledgedEnds = acknowledgementToSend(worker),
-                            .wait = worker.fenceConfirmed && worker.clock && !worker.runs.empty()
-                                ? this->settings.renewalWait
-                                : std::chrono::milliseconds(0)};
+                            .wait = this->renewalWaitOf(worker)};
     // A lease that an unresponsive worker may have received delays running its tasks elsewhere, so
     // the lease is extended only while the worker answers, and not once it leaves. An earlier lease
     // end is not repeated: an incarnation with another clock would take it for the longest lease.
--- a/libs/dispatch/test/delayed_start_test.cpp
+++ b/libs/dispatch/test/delayed_start_test.cpp
@@ -282,4 +282,80 @@
     BOOST_TEST(!this->first->running.contains(this->key));
 }
 
+namespace {
+
+/**
+ * The run is held, as a report did not list it, and then its last start was carried out by an
+ * incarnation that nobody has heard of.
+ */
+struct HeldRunFixture : DelayedStartFixture
+{
+    explicit HeldRunFixture(std::chrono::milliseconds renewalAnswerDelay = 0ms)
+    {
+        this->run(20'900ms);
+        this->first->renewalAnswerDelay = renewalAnswerDelay;
+        this->run(100ms);
+        BOOST_REQUIRE(this->workers.runningTasks() == 0U);
+        BOOST_REQUIRE(!this->workers.delayedStarts.empty());
+        this->earlier = this->first->record;
+        this->restartFirst();
+        this->first->clockOffset = -30min;
+        this->first->renewalsUnanswered = true;
+        this->withoutHeartbeats.insert(this->first->record.id);
+        this->workers.deliverDelayedStarts();
+        BOOST_REQUIRE(this->first->running.contains(this->key));
+    }
+
+    WorkerRecord earlier;
+};
+
+/** The same with a renewal on its way, so that the next one is not due yet. */
+struct HeldRunWithRenewalFixture : HeldRunFixture
+{
+    HeldRunWithRenewalFixture()
+        : HeldRunFixture(5s)
+    {
+    }
+};
+
+} // namespace
+
+// Guards against a late heartbeat of the earlier incarnation that is taken for a sign that no
+// later one has begun the run.
+BOOST_FIXTURE_TEST_CASE(TakesNoProofFromALateHeartbeatOfTheEarlierIncarnation, HeldRunFixture)
+{
+    this->first->unresponsive = true;
+    for (int number = 0; number < 59; ++number) {
+        this->dispatcher.heartbeatReceived(this->earlier, std::nullopt);
+        this->run(100ms);
+    }
+    BOOST_TEST(!this->runsElsewhere());
+    BOOST_TEST(this->workers.violations.empty());
+}
+
+// Guards against the same by the answer to another start, which the later incarnation gave.
+BOOST_FIXTURE_TEST_CASE(TakesNoProofFromTheAnswerToAnotherStart, HeldRunWithRenewalFixture)
+{
+    std::vector<InstanceId> others;
+    for (const auto &[id, worker] : this->workers.workers) {
+        if (&worker != this->first) {
+            others.push_back(id);
+        }
+    }
+    for (const InstanceId &id : others) {
+        this->announce(id, [](WorkerRecord &record) { record.draining = true; });
+    }
+    this->run(1000ms);
+    this->submit("b", {DispatchFixture::step(1, 100)});
+    this->run(20ms);
+    BOOST_REQUIRE(this->first->running.size() == 2U);
+    this->first->unresponsive = true;
+    for (const InstanceId &id : others) {
+        this->announce(id, [](WorkerRecord &record) { record.draining = false; });
+    }
+    this->run(2000ms);
+    BOOST_TEST(!this->runsElsewhere());
+    BOOST_TEST(this->workers.violations.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
