Let a test proxy resume without closing connections

A machine that is away for a moment loses what is sent to it, and no connection is reset. The proxy could end a drop of data only by closing its connections, which tells the sender, or by going on in the middle of a byte stream. A connection that has lost data stays silent now in that direction; stop_dropping() resumes all others.

--- a/tests/system/harness.py
+++ b/tests/system/harness.py
@@ -91,6 +91,8 @@
             client.close()
             return
         generation = self.generation
+        # The sources of which data was dropped. A byte stream with a gap is not continued.
+        incomplete = set()
         while not self.closed and generation == self.generation:
             readable, _, _ = select.select([client, backend], [], [], 0.2)
             if readable and self.delay_seconds > 0:
@@ -106,7 +108,9 @@
                     else:
                         self.bytes_from_target += len(data)
                     drop = self.drop_to_target if to_target else self.drop_from_target
-                    if not drop:
+                    if drop:
+                        incomplete.add(source)
+                    if source not in incomplete:
                         (backend if to_target else client).sendall(data)
             except OSError:
                 break
@@ -116,6 +120,11 @@
     def reset_connections(self):
         self.generation += 1
 
+    def stop_dropping(self):
+        """Resumes without closing connections. Those that lost data stay silent."""
+        self.drop_to_target = False
+        self.drop_from_target = False
+
     def heal(self):
         self.drop_to_target = False
         self.drop_from_target = False
