--- a/tests/system/harness.py
+++ b/tests/system/harness.py
@@ -58,10 +58,13 @@
 class Proxy:
     """Forwards TCP connections to one target.
 
-    Can drop the data of either direction, delay it, and close the connections.
+    Can drop the data of either direction, delay it, and close the connections. With
+    silent_after_loss, a connection that has lost data carries none in that direction any more, as
+    if its peer were gone. Otherwise its byte stream goes on with a gap.
     """
 
-    def __init__(self, listen_host, target, port=PEER_PORT):
+    def __init__(self, listen_host, target, port=PEER_PORT, silent_after_loss=False):
+        self.silent_after_loss = silent_after_loss
         self.target = target
         self.drop_to_target = False
         self.drop_from_target = False
@@ -91,7 +94,7 @@
             client.close()
             return
         generation = self.generation
-        # The sources of which data was dropped. A byte stream with a gap is not continued.
+        # The sources of which data was dropped, with silent_after_loss.
         incomplete = set()
         while not self.closed and generation == self.generation:
             readable, _, _ = select.select([client, backend], [], [], 0.2)
@@ -108,9 +111,9 @@
                     else:
                         self.bytes_from_target += len(data)
                     drop = self.drop_to_target if to_target else self.drop_from_target
-                    if drop:
+                    if drop and self.silent_after_loss:
                         incomplete.add(source)
-                    if source not in incomplete:
+                    if not drop and source not in incomplete:
                         (backend if to_target else client).sendall(data)
             except OSError:
                 break
@@ -121,7 +124,7 @@
         self.generation += 1
 
     def stop_dropping(self):
-        """Resumes without closing connections. Those that lost data stay silent."""
+        """Resumes without closing connections."""
         self.drop_to_target = False
         self.drop_from_target = False
 
