Test a node with clients that send without end or far over the limits

The new system tests start one node and play such clients; they check that the process lives, that the peak of its memory grows by less than 48 MiB, that descriptors are closed and that an ordinary submission is answered.

--- a/tests/system/run.py
+++ b/tests/system/run.py
@@ -11,14 +11,24 @@
 os.chdir(os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", ".."))
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 import test_failures  # noqa: E402
+import test_hostile_clients  # noqa: E402
+
+MODULES = (test_failures, test_hostile_clients)
+
+
+def module_of(name):
+    """Returns the module that has the test; the first one, whose loader reports it, if none has."""
+    return next((module for module in MODULES if hasattr(module, name.split(".")[0])), MODULES[0])
 
 
 def main():
     loader = unittest.defaultTestLoader
     if len(sys.argv) > 1:
-        suite = loader.loadTestsFromNames(sys.argv[1:], test_failures)
+        suite = unittest.TestSuite(loader.loadTestsFromName(name, module_of(name))
+                                   for name in sys.argv[1:])
     else:
-        suite = loader.loadTestsFromModule(test_failures)
+        # One test after the other, so that no test measures the memory of another one's crowd.
+        suite = unittest.TestSuite(loader.loadTestsFromModule(module) for module in MODULES)
     result = unittest.TextTestRunner(verbosity=2).run(suite)
     failed = len(result.failures) + len(result.errors)
     print(f"{result.testsRun - failed} passed, {failed} failed")
