Bound a connection's read buffer by the header limit

Cause: the buffer had no maximum. The header limit holds for a header only; Beast parses trailers, and the line that begins a chunk, once they are complete, and kept all of them until then.

Change: the buffer has the size of the header limit, so that trailers and chunk extensions count against it and are refused with 431.

--- a/libs/link/include/link/http_server.h
+++ b/libs/link/include/link/http_server.h
@@ -13,6 +13,7 @@
 /** Limits that one HTTP server imposes on its callers. */
 struct HttpServerLimits
 {
+    /** Also the limit of trailers and of a chunk's extensions. */
     Bytes maxHeader{16LL * 1024};
     Bytes maxBody{16LL * 1024 * 1024};
     std::size_t maxConnections = 1024;
--- a/libs/link/src/http_server.cpp
+++ b/libs/link/src/http_server.cpp
@@ -99,6 +99,10 @@
     HttpSession(tcp::socket socket, std::shared_ptr<HttpServer::Impl> initialServer)
         : stream(std::move(socket))
         , server(std::move(initialServer))
+        // Beast parses trailers and a chunk's extensions once they are complete, so that only the
+        // size of the buffer bounds them.
+        , buffer(std::max(static_cast<std::size_t>(this->server->limits.maxHeader.value),
+                          firstReadSize))
     {
         BoostError ignored;
         this->stream.socket().set_option(tcp::no_delay(true), ignored);
--- a/libs/link/test/http_server_test.cpp
+++ b/libs/link/test/http_server_test.cpp
@@ -118,6 +118,42 @@
                    "413", "too-large");
 }
 
+// Guards against a read buffer without a maximum, which keeps trailers and chunk extensions until
+// they are complete, however long they are.
+BOOST_AUTO_TEST_CASE(RefusesOversizeTrailersAndChunkExtensions)
+{
+    TestServer server;
+    const std::string start = "PUT / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    std::string trailers;
+    while (trailers.size() < 32UL * 1024) {
+        trailers += "Name: value\r\n";
+    }
+    checkRejection(sendAndReadAll(server.address, start + "0\r\n" + trailers), "431", "too-large");
+    checkRejection(sendAndReadAll(server.address, start + "5;" + std::string(32UL * 1024, 'x')),
+                   "431", "too-large");
+}
+
+// Guards against limits that refuse what is inside them: trailers, extensions and a chunked body of
+// exactly the largest size.
+BOOST_AUTO_TEST_CASE(TakesTrailersExtensionsAndABodyUpToTheLimit)
+{
+    HttpServerLimits limits;
+    limits.maxBody = Bytes(100'000);
+    TestServer server(limits);
+    const std::string body(100'000, 'x');
+    const std::string response
+        = sendAndReadAll(server.address,
+                         "PUT / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nConnection: "
+                         "close\r\n\r\n186a0;name=value\r\n"
+                             + body + "\r\n0\r\nName: value\r\n\r\n");
+    BOOST_TEST(response.ends_with("PUT:" + body));
+    BOOST_TEST(sendAndReadAll(server.address,
+                              "PUT / HTTP/1.1\r\nContent-Length: 100000\r\n"
+                              "Connection: close\r\n\r\n"
+                                  + body)
+                   .ends_with("PUT:" + body));
+}
+
 // Guards against a truncated request that is handled as a complete one.
 BOOST_AUTO_TEST_CASE(HandlesNoTruncatedRequest)
 {
