Bound the memory that the requests of a process hold together

Cause: bodies had a limit each and none in all, 4 MiB for callers as for operators, and were kept until the read timeout. Header fields take many times their length and were not counted.

Change: RequestBudget counts the capacities of read buffer, header fields, body and response, from the first byte until the response is written, for all HTTP servers of a process. A request without room gets 503 before its handler is called, with outcome not-run, and its connection is closed; a response without room is replaced by a 503 with outcome unknown. Requests above 16 KiB hold at most half of the budget together. The session parses by itself what it reads, so that it can ask for room before the body grows.

--- a/libs/cluster/src/node_settings.cpp
+++ b/libs/cluster/src/node_settings.cpp
@@ -19,6 +19,12 @@
 constexpr std::int64_t maxDescriptors = 1 << 20;
 /** A lease must span several heartbeats of a few round trips each. */
 constexpr std::int64_t minLeaseMillis = 50;
+/** Half of the memory for requests must hold a body of the largest size at the control address. */
+constexpr std::int64_t minRequestMemory = 16LL * 1024 * 1024;
+constexpr std::int64_t maxRequestMemory = 1024LL * 1024 * 1024;
+/** The platform promises callers that bodies of this size are served. */
+constexpr std::int64_t minCallerBody = 256LL * 1024;
+constexpr std::int64_t maxCallerBody = 4LL * 1024 * 1024;
 constexpr std::int64_t maxMillis = 24LL * 3600 * 1000;
 const std::array<std::string, 5> logLevels{"trace", "debug", "info", "warn", "error"};
 
@@ -58,6 +64,11 @@
         settings.threads = static_cast<unsigned>(this->reader.integer("threads", 1, 1, maxThreads));
         settings.descriptorLimit = static_cast<std::size_t>(
             this->reader.integer("descriptorLimit", 0, 0, maxDescriptors));
+        settings.requestMemory
+            = Bytes(this->reader.integer("requestMemoryBytes", settings.requestMemory.value,
+                                         minRequestMemory, maxRequestMemory));
+        settings.callerBody = Bytes(this->reader.integer(
+            "callerBodyBytes", settings.callerBody.value, minCallerBody, maxCallerBody));
         settings.leaderLease = std::chrono::milliseconds(this->reader.integer(
             "leaderLeaseMillis", settings.leaderLease.count(), minLeaseMillis, maxMillis));
         settings.linkSilence = std::chrono::milliseconds(this->reader.integer(
--- a/libs/cluster/test/cluster_test.cpp
+++ b/libs/cluster/test/cluster_test.cpp
@@ -334,6 +334,7 @@
                                             "listenCallers: \"10.0.0.1:81\"\n"
                                             "listenControl: \"\"\n"
                                             "longestWorkerLeaseMillis: 3000\n"
+                                            "requestMemoryBytes: 20000000\n"
                                             "somethingNew: 7\n",
                                             "settings.yaml");
     BOOST_REQUIRE(ok(settings));
@@ -341,6 +342,8 @@
     BOOST_TEST(!valueOf(settings).dataFolder.has_value());
     BOOST_TEST(!valueOf(settings).listenControl.has_value());
     BOOST_TEST(valueOf(settings).listenCallers->port == 81);
+    BOOST_TEST(valueOf(settings).requestMemory.value == 20'000'000);
+    BOOST_TEST(valueOf(settings).callerBody.value == 1024 * 1024);
     // The platform's limit overrides the default.
     BOOST_TEST((valueOf(settings).dispatch.workerLease == 3s));
     BOOST_TEST((valueOf(settings).dispatch.longestWorkerLease == 3s));
@@ -354,11 +357,14 @@
                                             "peerPort: 700000\n"
                                             "seeds: [\"somewhere\"]\n"
                                             "bootstrap: perhaps\n"
+                                            "requestMemoryBytes: 1000000\n"
+                                            "callerBodyBytes: 262143\n"
                                             "logLevel: loud\n",
                                             "settings.yaml");
     BOOST_REQUIRE(!ok(settings));
     const std::string message = errorOf(settings).message;
-    for (const std::string part : {"peerPort", "seed", "bootstrap", "logLevel"}) {
+    for (const std::string part :
+         {"peerPort", "seed", "bootstrap", "logLevel", "requestMemoryBytes", "callerBodyBytes"}) {
         BOOST_TEST(message.find(part) != std::string::npos, message);
     }
 }
--- a/libs/link/include/link/http_server.h
+++ b/libs/link/include/link/http_server.h
@@ -7,6 +7,7 @@
 #include <base/base.h>
 #include <link/executor.h>
 #include <link/http_message.h>
+#include <link/request_budget.h>
 
 namespace gooseberry {
 
@@ -33,7 +34,13 @@
     /** Called on the executor's threads; must call respond exactly once, on any thread. */
     using Handler = std::function<void(HttpRequest, Respond)>;
 
-    HttpServer(Executor &executor, HttpServerLimits limits, Handler handler);
+    /**
+     * The budget bounds the memory of the requests of all servers that share it, from the first
+     * byte until the response is written. A request without room gets a 503 response and its
+     * connection is closed. A server without a budget has one of its own.
+     */
+    HttpServer(Executor &executor, HttpServerLimits limits, Handler handler,
+               std::shared_ptr<RequestBudget> budget = nullptr);
     ~HttpServer();
 
     HttpServer(const HttpServer &) = delete;
--- a/libs/link/include/link/link.h
+++ b/libs/link/include/link/link.h
@@ -9,3 +9,4 @@
 #include <link/http_message.h>
 #include <link/http_server.h>
 #include <link/peer_network.h>
+#include <link/request_budget.h>
--- a/libs/link/src/http_server.cpp
+++ b/libs/link/src/http_server.cpp
@@ -29,6 +29,16 @@
 using tcp = asio::ip::tcp;
 using BoostError = boost::system::error_code;
 
+/** How many of the largest bodies a server without a given budget takes at once. */
+constexpr std::int64_t largestBodiesAtOnce = 4;
+
+std::shared_ptr<RequestBudget> makeBudget(const HttpServerLimits &limits)
+{
+    const Bytes large(
+        std::max(RequestMemoryLimits{}.large.value, limits.maxBody.value * largestBodiesAtOnce));
+    return std::make_shared<RequestBudget>(requestMemoryLimits(Bytes(large.value * 2)));
+}
+
 std::string lowerCase(std::string text)
 {
     std::transform(text.begin(), text.end(), text.begin(),
@@ -40,15 +50,23 @@
 constexpr std::size_t maxRejectedSessions = 64;
 constexpr std::chrono::milliseconds acceptRetryDelay{50};
 
-HttpResponse makeErrorResponse(unsigned status, const std::string &code, const std::string &message)
+/** Bytes that a header field takes in memory beside its name and value. */
+constexpr std::size_t fieldOverhead = 80;
+/** What the sender of a request that is refused with 503 is asked to wait. */
+constexpr std::chrono::seconds refusalRetryDelay{1};
+
+HttpResponse makeErrorResponse(unsigned status, const std::string &code, const std::string &message,
+                               Outcome outcome = Outcome::NotRun)
 {
     HttpResponse response;
     response.status = status;
     response.headers["content-type"] = "application/json";
-    const std::string outcome = status == 500 ? "unknown" : "not-run";
+    if (status == 503) {
+        response.headers["retry-after"] = std::to_string(refusalRetryDelay.count());
+    }
     response.body = R"({"code":")" + code + R"(","reason":")" + code
-        + R"(","step":"receive","peer":"","outcome":")" + outcome + R"(","message":")" + message
-        + "\"}";
+        + R"(","step":"receive","peer":"","outcome":")" + toString(outcome) + R"(","message":")"
+        + message + "\"}";
     return response;
 }
 
@@ -59,10 +77,12 @@
 /** State shared by the sessions of one server. */
 struct HttpServer::Impl : std::enable_shared_from_this<HttpServer::Impl>
 {
-    Impl(Executor &executor, HttpServerLimits initialLimits, Handler initialHandler)
+    Impl(Executor &executor, HttpServerLimits initialLimits, Handler initialHandler,
+         std::shared_ptr<RequestBudget> initialBudget)
         : context(executor.impl().context)
         , limits(initialLimits)
         , handler(std::move(initialHandler))
+        , budget(std::move(initialBudget))
         , acceptor(asio::make_strand(context))
     {
     }
@@ -80,6 +100,7 @@
     asio::io_context &context;
     HttpServerLimits limits;
     Handler handler;
+    std::shared_ptr<RequestBudget> budget;
     tcp::acceptor acceptor;
     std::atomic<bool> draining{false};
 
@@ -103,6 +124,7 @@
         // size of the buffer bounds them.
         , buffer(std::max(static_cast<std::size_t>(this->server->limits.maxHeader.value),
                           firstReadSize))
+        , charge(this->server->budget)
     {
         BoostError ignored;
         this->stream.socket().set_option(tcp::no_delay(true), ignored);
@@ -149,6 +171,10 @@
             return;
         }
         this->idle = true;
+        this->outgoing.reset();
+        this->serializer.reset();
+        this->fieldsSize = 0;
+        this->sentContinue = false;
         this->parser.emplace();
         this->parser->header_limit(
             static_cast<std::uint32_t>(this->server->limits.maxHeader.value));
@@ -159,6 +185,11 @@
             this->readRequest();
             return;
         }
+        if (this->buffer.capacity() > firstReadSize) {
+            this->buffer.clear();
+            this->buffer.shrink_to_fit();
+        }
+        this->charge.set(Bytes(0));
         this->stream.async_read_some(
             this->buffer.prepare(firstReadSize),
             [self = this->shared_from_this()](BoostError error, std::size_t size) {
@@ -181,46 +212,133 @@
     {
         this->idle = false;
         this->stream.expires_after(this->server->limits.readTimeout);
-        http::async_read_header(
-            this->stream, this->buffer, *this->parser,
-            [self = this->shared_from_this()](BoostError error, std::size_t) {
-                if (error) {
+        this->parse();
+    }
+
+    /** Reads more of the request. The read timeout covers all reads of a request together. */
+    void readMore()
+    {
+        const std::size_t room = this->buffer.max_size() - this->buffer.size();
+        if (room == 0) {
+            this->onReadError(http::error::buffer_overflow);
+            return;
+        }
+        const std::size_t spare = this->buffer.capacity() - this->buffer.size();
+        this->stream.async_read_some(
+            this->buffer.prepare(std::min(room, std::max(spare, minReadSize))),
+            [self = this->shared_from_this()](BoostError error, std::size_t size) {
+                if (error == asio::error::eof) {
+                    BoostError incomplete;
+                    self->parser->put_eof(incomplete);
+                    self->onReadError(incomplete);
+                } else if (error) {
                     self->onReadError(error);
-                } else if (!self->parser->is_done()
-                           && beast::iequals(self->parser->get()[http::field::expect],
-                                             "100-continue")) {
-                    self->sendContinue();
                 } else {
-                    self->readBody();
+                    self->buffer.commit(size);
+                    self->parse();
                 }
             });
     }
 
+    /** Parses what has been read, and then handles the request or reads more of it. */
+    void parse()
+    {
+        BoostError error;
+        while (!error && !this->parser->is_done() && this->buffer.size() > 0) {
+            if (!this->reserveBody() || !this->chargeRequest()) {
+                this->refuseForMemory();
+                return;
+            }
+            const bool hadHeader = this->parser->is_header_done();
+            this->buffer.consume(this->parser->put(this->buffer.data(), error));
+            if (!error && !hadHeader && this->parser->is_header_done()) {
+                this->onHeader();
+            }
+        }
+        if (error && error != http::error::need_more) {
+            this->onReadError(error);
+        } else if (!this->chargeRequest()) {
+            this->refuseForMemory();
+        } else if (this->parser->is_done()) {
+            this->handle();
+        } else if (this->parser->is_header_done() && !this->sentContinue
+                   && beast::iequals(this->parser->get()[http::field::expect], "100-continue")) {
+            this->sendContinue();
+        } else {
+            this->readMore();
+        }
+    }
+
+    void onHeader()
+    {
+        for (const auto &field : this->parser->get()) {
+            this->fieldsSize += fieldOverhead + field.name_string().size() + field.value().size();
+        }
+        this->parser->eager(true);
+    }
+
+    /**
+     * Makes room for what the parser may add to the body next. Returns false if the budget has no
+     * room. The parser reserves an announced length itself.
+     */
+    bool reserveBody()
+    {
+        if (!this->parser->is_header_done()) {
+            return true;
+        }
+        std::string &body = this->parser->get().body();
+        const auto announced = this->parser->content_length();
+        const std::size_t needed
+            = announced ? static_cast<std::size_t>(*announced) : body.size() + this->buffer.size();
+        if (needed <= body.capacity()) {
+            return true;
+        }
+        const auto limit = static_cast<std::size_t>(this->server->limits.maxBody.value);
+        const std::size_t capacity
+            = announced ? needed : std::max(needed, std::min(body.capacity() * 2, limit));
+        if (!this->charge.set(this->heldBytes(capacity))) {
+            return false;
+        }
+        if (!announced) {
+            body.reserve(capacity);
+        }
+        return true;
+    }
+
+    Bytes heldBytes(std::size_t bodyCapacity) const
+    {
+        return Bytes(
+            static_cast<std::int64_t>(this->buffer.capacity() + this->fieldsSize + bodyCapacity));
+    }
+
+    bool chargeRequest()
+    {
+        const std::string &body = this->parser->get().body();
+        const auto announced
+            = this->parser->is_header_done() ? this->parser->content_length() : boost::none;
+        const std::size_t reserved = announced ? static_cast<std::size_t>(*announced) : 0;
+        return this->charge.set(this->heldBytes(std::max(body.capacity(), reserved)));
+    }
+
+    void refuseForMemory()
+    {
+        this->reject(503, "overloaded", "the requests in progress hold all the memory they may");
+    }
+
     void sendContinue()
     {
+        this->sentContinue = true;
         this->continueResponse.emplace(http::status::continue_, 11);
         http::async_write(this->stream, *this->continueResponse,
                           [self = this->shared_from_this()](BoostError error, std::size_t) {
                               if (error) {
                                   self->close();
                               } else {
-                                  self->readBody();
+                                  self->parse();
                               }
                           });
     }
 
-    void readBody()
-    {
-        http::async_read(this->stream, this->buffer, *this->parser,
-                         [self = this->shared_from_this()](BoostError error, std::size_t) {
-                             if (error) {
-                                 self->onReadError(error);
-                             } else {
-                                 self->handle();
-                             }
-                         });
-    }
-
     void onReadError(BoostError error)
     {
         static const auto &httpCategory = make_error_code(http::error::bad_method).category();
@@ -244,11 +362,17 @@
     {
         this->keepAlive = false;
         this->unreadInput = true;
+        this->parser.reset();
+        this->buffer.clear();
+        this->buffer.shrink_to_fit();
+        this->fieldsSize = 0;
+        this->charge.set(Bytes(0));
         this->write(makeErrorResponse(status, code, message));
     }
 
     void handle()
     {
+        // The charge stays until the response is written: the handler may keep what was read.
         auto message = this->parser->release();
         this->keepAlive = message.keep_alive();
         this->isHeadRequest = message.method() == http::verb::head;
@@ -271,13 +395,14 @@
                 return;
             }
             asio::post(self->stream.get_executor(),
-                       [self, response = std::move(response)]() { self->write(response); });
+                       [self, response = std::move(response)]() { self->respond(response); });
         };
         try {
             this->server->handler(std::move(request), respond);
         } catch (...) {
             // Whether the request has had an effect is not known, so the sender may ask again.
-            respond(makeErrorResponse(500, "internal", "the request could not be handled"));
+            respond(makeErrorResponse(500, "internal", "the request could not be handled",
+                                      Outcome::Unknown));
             throw;
         }
     }
@@ -291,6 +416,18 @@
         return size == 0 || (size < 0 && errno == ECONNRESET);
     }
 
+    /** Writes the handler's response if the budget has room for it. */
+    void respond(const HttpResponse &response)
+    {
+        if (this->charge.set(this->heldBytes(response.body.size()))) {
+            this->write(response);
+            return;
+        }
+        this->keepAlive = false;
+        this->write(
+            makeErrorResponse(503, "overloaded", "no memory for the response", Outcome::Unknown));
+    }
+
     void write(const HttpResponse &response)
     {
         this->keepAlive = this->keepAlive && !this->server->isDraining();
@@ -356,6 +493,7 @@
     }
 
     static constexpr std::size_t firstReadSize = 4096;
+    static constexpr std::size_t minReadSize = 512;
     /** How long to keep reading from a rejected sender before closing. */
     static constexpr std::chrono::milliseconds lingerTimeout{1000};
     /** How long a new connection may take to send its first request during a drain. */
@@ -364,6 +502,9 @@
     beast::tcp_stream stream;
     std::shared_ptr<HttpServer::Impl> server;
     beast::flat_buffer buffer;
+    RequestCharge charge;
+    /** The memory of the request's header fields, in bytes. */
+    std::size_t fieldsSize = 0;
     std::optional<http::request_parser<http::string_body>> parser;
     std::optional<http::response<http::string_body>> outgoing;
     std::optional<http::response_serializer<http::string_body>> serializer;
@@ -374,6 +515,7 @@
     bool hasReadRequest = false;
     bool isHeadRequest = false;
     bool unreadInput = false;
+    bool sentContinue = false;
 };
 
 void HttpServer::Impl::acceptNext()
@@ -444,8 +586,10 @@
     }
 }
 
-HttpServer::HttpServer(Executor &executor, HttpServerLimits limits, Handler handler)
-    : impl(std::make_shared<Impl>(executor, limits, std::move(handler)))
+HttpServer::HttpServer(Executor &executor, HttpServerLimits limits, Handler handler,
+                       std::shared_ptr<RequestBudget> budget)
+    : impl(std::make_shared<Impl>(executor, limits, std::move(handler),
+                                  budget != nullptr ? std::move(budget) : makeBudget(limits)))
 {
 }
 
--- a/libs/link/test/http_server_test.cpp
+++ b/libs/link/test/http_server_test.cpp
@@ -25,18 +25,20 @@
 /** A server that echoes method and body, and defers the responses to requests for /hold. */
 struct TestServer
 {
-    explicit TestServer(HttpServerLimits limits = {})
-        : server(this->executor, limits,
-                 [this](const HttpRequest &request, const HttpServer::Respond &respond) {
-                     if (request.target == "/hold") {
-                         this->held.update(
-                             [&](HeldRequests &now) { now.responders.push_back(respond); });
-                         return;
-                     }
-                     respond(HttpResponse{.status = 200,
-                                          .headers = {},
-                                          .body = request.method + ':' + request.body});
-                 })
+    explicit TestServer(HttpServerLimits limits = {},
+                        std::shared_ptr<RequestBudget> budget = nullptr)
+        : server(
+            this->executor, limits,
+            [this](const HttpRequest &request, const HttpServer::Respond &respond) {
+                if (request.target == "/hold") {
+                    this->held.update(
+                        [&](HeldRequests &now) { now.responders.push_back(respond); });
+                    return;
+                }
+                respond(HttpResponse{
+                    .status = 200, .headers = {}, .body = request.method + ':' + request.body});
+            },
+            std::move(budget))
     {
         const Result<Address> listening = this->server.listen(anyPort);
         BOOST_REQUIRE(ok(listening));
@@ -154,6 +156,89 @@
                    .ends_with("PUT:" + body));
 }
 
+// Guards against bodies that stop short of their end and together take all memory: what does not
+// fit is refused before its handler is called, small requests are served, and memory is given back.
+BOOST_AUTO_TEST_CASE(RefusesWhatTheBudgetHasNoRoomForAndServesSmallRequests)
+{
+    const auto budget = std::make_shared<RequestBudget>(RequestMemoryLimits{
+        .all = Bytes(300'000), .large = Bytes(200'000), .smallRequest = Bytes(16'384)});
+    TestServer server({}, budget);
+    RawSocket slow;
+    BOOST_REQUIRE(slow.connect(server.address));
+    BOOST_REQUIRE(slow.write("PUT /hold HTTP/1.1\r\nContent-Length: 150000\r\n\r\n"
+                             + std::string(100'000, 'x')));
+    while (budget->use().large.value < 150'000) {
+        std::this_thread::sleep_for(milliseconds(1));
+    }
+    const std::string body(100'000, 'x');
+    checkRejection(sendAndReadAll(server.address,
+                                  "PUT /hold HTTP/1.1\r\nContent-Length: 100000\r\n\r\n" + body),
+                   "503", "overloaded");
+    checkRejection(sendAndReadAll(server.address,
+                                  "PUT /hold HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                  "186a0\r\n"
+                                      + body),
+                   "503", "overloaded");
+    BOOST_TEST(server.held.get().responders.empty());
+    const std::string small = "PUT / HTTP/1.1\r\nContent-Length: 5\r\n\r\nsmall";
+    BOOST_TEST(sendAndReadAll(server.address, small + "GET / HTTP/1.1\r\nConnection: close\r\n\r\n")
+                   .ends_with("GET:"));
+    BOOST_REQUIRE(slow.write(std::string(50'000, 'x')));
+    BOOST_REQUIRE(server.awaitHeldRequest());
+    // The handler has the body now, so it still counts.
+    BOOST_TEST(budget->use().large.value >= 150'000);
+    server.held.get().responders.front()(HttpResponse{});
+    BOOST_TEST(!slow.readUntil("\r\n\r\n", testTimeout).empty());
+    slow.close();
+    const SteadyTime began = std::chrono::steady_clock::now();
+    while (budget->use() != RequestMemoryUse{}
+           && std::chrono::steady_clock::now() - began < testTimeout) {
+        std::this_thread::sleep_for(milliseconds(1));
+    }
+    BOOST_TEST((budget->use() == RequestMemoryUse{}));
+}
+
+// Guards against responses that nobody reads and that together take all memory.
+BOOST_AUTO_TEST_CASE(SendsNoResponseThatTheBudgetHasNoRoomFor)
+{
+    const auto budget = std::make_shared<RequestBudget>(RequestMemoryLimits{
+        .all = Bytes(300'000), .large = Bytes(200'000), .smallRequest = Bytes(16'384)});
+    TestServer server({}, budget);
+    RawSocket caller;
+    BOOST_REQUIRE(caller.connect(server.address));
+    BOOST_REQUIRE(caller.write("GET /hold HTTP/1.1\r\n\r\n"));
+    BOOST_REQUIRE(server.awaitHeldRequest());
+    server.held.get().responders.front()(
+        HttpResponse{.status = 200, .headers = {}, .body = std::string(250'000, 'x')});
+    BOOST_TEST(caller.closedWithin(testTimeout));
+    BOOST_TEST(caller.rest().starts_with("HTTP/1.1 503"));
+    // The handler was called, so nothing is promised.
+    BOOST_TEST((caller.rest().find(R"("outcome":"unknown")") != std::string::npos));
+}
+
+// Guards against a sender that extends its time with each chunk or trailer.
+BOOST_AUTO_TEST_CASE(ClosesASenderOfTinyChunksAtTheReadTimeout)
+{
+    HttpServerLimits limits;
+    limits.readTimeout = milliseconds(300);
+    TestServer server(limits);
+    for (const std::string start : {"", "0\r\n"}) {
+        RawSocket slow;
+        BOOST_REQUIRE(slow.connect(server.address));
+        BOOST_REQUIRE(
+            slow.write("PUT /hold HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + start));
+        const std::string piece = start.empty() ? "1\r\nx\r\n" : "a: b\r\n";
+        const SteadyTime began = std::chrono::steady_clock::now();
+        bool cut = false;
+        while (!cut && std::chrono::steady_clock::now() - began < testTimeout) {
+            slow.write(piece);
+            cut = slow.closedWithin(milliseconds(20));
+        }
+        BOOST_TEST(cut);
+    }
+    BOOST_TEST(server.held.get().responders.empty());
+}
+
 // Guards against a truncated request that is handled as a complete one.
 BOOST_AUTO_TEST_CASE(HandlesNoTruncatedRequest)
 {
