Lower the defaults of the memory for requests

requestMemoryBytes 24 MiB and callerBodyBytes 512 KiB, from 32 MiB and 1 MiB. Entry instances may have 120 MB.

--- a/libs/cluster/include/cluster/node_settings.h
+++ b/libs/cluster/include/cluster/node_settings.h
@@ -53,9 +53,9 @@
     /** The limit of open descriptors; 0 takes that of the process, of which it can't be more. */
     std::size_t descriptorLimit = 0;
     /** What the requests of all connections may hold in memory together. */
-    Bytes requestMemory{32LL * 1024 * 1024};
+    Bytes requestMemory{24LL * 1024 * 1024};
     /** The longest body of a caller's request. */
-    Bytes callerBody{1024LL * 1024};
+    Bytes callerBody{512LL * 1024};
     DispatchSettings dispatch;
 };
 
--- a/libs/cluster/test/cluster_test.cpp
+++ b/libs/cluster/test/cluster_test.cpp
@@ -343,7 +343,7 @@
     BOOST_TEST(!valueOf(settings).listenControl.has_value());
     BOOST_TEST(valueOf(settings).listenCallers->port == 81);
     BOOST_TEST(valueOf(settings).requestMemory.value == 20'000'000);
-    BOOST_TEST(valueOf(settings).callerBody.value == 1024 * 1024);
+    BOOST_TEST(valueOf(settings).callerBody.value == 512 * 1024);
     // The platform's limit overrides the default.
     BOOST_TEST((valueOf(settings).dispatch.workerLease == 3s));
     BOOST_TEST((valueOf(settings).dispatch.longestWorkerLease == 3s));
--- a/libs/link/include/link/request_budget.h
+++ b/libs/link/include/link/request_budget.h
@@ -11,12 +11,12 @@
 /** Bounds for the memory that the requests of one process hold together. */
 struct RequestMemoryLimits
 {
-    Bytes all{32LL * 1024 * 1024};
+    Bytes all{24LL * 1024 * 1024};
     /**
      * What requests above smallRequest may hold together. Less than all, so that small requests
      * find room whatever large or slow ones hold.
      */
-    Bytes large{16LL * 1024 * 1024};
+    Bytes large{12LL * 1024 * 1024};
     /** A request that holds at most this counts as small. */
     Bytes smallRequest{16LL * 1024};
 };
