Never turn the answer to a request that has run into a refusal

Change: a response of up to 4 KiB is always written, and a longer one without room is replaced by a 504.

--- a/libs/link/src/http_server.cpp
+++ b/libs/link/src/http_server.cpp
@@ -416,16 +416,21 @@
         return size == 0 || (size < 0 && errno == ECONNRESET);
     }
 
-    /** Writes the handler's response if the budget has room for it. */
+    /**
+     * Writes the handler's response if the budget has room for it. A short one is always written:
+     * the charge of the request covers it, and the request may have had an effect.
+     */
     void respond(const HttpResponse &response)
     {
-        if (this->charge.set(this->heldBytes(response.body.size()))) {
+        if (response.body.size() <= shortResponseSize
+            || this->charge.set(this->heldBytes(response.body.size()))) {
             this->write(response);
             return;
         }
+        // Not 503, which promises callers that the request never runs.
         this->keepAlive = false;
         this->write(
-            makeErrorResponse(503, "overloaded", "no memory for the response", Outcome::Unknown));
+            makeErrorResponse(504, "overloaded", "no memory for the response", Outcome::Unknown));
     }
 
     void write(const HttpResponse &response)
@@ -494,6 +499,8 @@
 
     static constexpr std::size_t firstReadSize = 4096;
     static constexpr std::size_t minReadSize = 512;
+    /** No more than the read buffer, which every request is charged for. */
+    static constexpr std::size_t shortResponseSize = firstReadSize;
     /** How long to keep reading from a rejected sender before closing. */
     static constexpr std::chrono::milliseconds lingerTimeout{1000};
     /** How long a new connection may take to send its first request during a drain. */
