--- a/tests/system/test_hostile_clients.py
+++ b/tests/system/test_hostile_clients.py
@@ -160,7 +160,7 @@
     def check(self, name):
         """Checks what must hold while the clients are still there, and after they have left."""
         self.assertIsNone(self.node.process.poll(), "the node has ended")
-        # Small requests are answered whatever the clients hold.
+        # At the latest once the node has given up on slow clients.
         wait_until(self.node.serves_an_ordinary_submission, 60, "an ordinary request is answered")
         growth = self.node.status_bytes("VmHWM") - self.memory
         most = self.node.descriptors()
