--- a/libs/dispatch/include/dispatch/run_evidence.h
+++ b/libs/dispatch/include/dispatch/run_evidence.h
@@ -33,15 +33,15 @@
      * the incarnation goes on.
      */
     bool absent = false;
-    /** When the worker's present incarnation was last heard of. */
-    SteadyTime lastContact;
+    /** When the last report was requested that did not list the run. */
+    SteadyTime absentAsOf;
     /** Another worker answers at the address, and refuses orders to this one. */
     bool replaced = false;
     /** When every lease from orders that have arrived by now has certainly expired. */
     SteadyTime leasesExpireBy;
     /**
-     * The lease that a start may bring that is carried out late. Zero for a start with a ticket: it
-     * expires so soon that the worker would have to restart unseen within a second or two.
+     * The lease that a start without an answer may bring to an incarnation that nobody has heard
+     * of: its lease end is a time on another clock.
      */
     std::chrono::milliseconds lateLease{0};
 };
--- a/libs/dispatch/include/dispatch/upstream_scheduler.h
+++ b/libs/dispatch/include/dispatch/upstream_scheduler.h
@@ -146,6 +146,11 @@
     // upstream_scheduler_workers.cpp: heartbeats, lease renewal and reports of workers.
     /** Sends a lease renewal unless one is pending, none is needed, or contact is lost. */
     void renewLeaseIfNeeded(UpstreamWorker &worker, Effects &effects);
+    /**
+     * Returns how long the worker may wait for an end before it answers a renewal. A renewal ends
+     * when a held run can't start any more, so that the next one is requested after that.
+     */
+    std::chrono::milliseconds renewalWaitOf(const UpstreamWorker &worker);
     void onLeaseRenewalReply(const SentRenewal &sent, const Result<LeaseRenewalReply> &result,
                              Effects &effects);
     void recordClock(UpstreamWorker &worker, WorkerTime clock, SteadyTime at);
@@ -165,6 +170,17 @@
     SteadyTime recoveredStartArrival(const LiveWorkflow &workflow) const;
     /** Resets the worker for a new incarnation and releases runs that ended with the old one. */
     void beginIncarnation(UpstreamWorker &worker, const WorkerRecord &record, Effects &effects);
+    /**
+     * Takes what the clock in the answer to a start tells of the worker's incarnation and of its
+     * lease. Returns whether another incarnation may have answered.
+     */
+    bool recordStartClock(UpstreamWorker &worker, const SentStart &sent, const StartReply &reply,
+                          Effects &effects);
+    /**
+     * Asks the worker for its incarnation, as one that the leader has not heard of may have
+     * answered. The worker gets no tasks until it has answered.
+     */
+    void expectRestart(UpstreamWorker &worker, Effects &effects);
     /**
      * Releases all runs of a worker at whose address another one answers. That one refuses all
      * orders to this worker, so nothing of it executes or can begin any more.
@@ -242,8 +258,9 @@
                            const Error &error, Effects &effects);
     void onStartRefused(const TaskKey &key, const Result<StartReply> &result,
                         UpstreamWorker &worker, Effects &effects);
-    void onStartReply(const TaskKey &key, RunNumber run, const InstanceId &id,
-                      const Result<StartReply> &result, Effects &effects);
+    void onStartReply(const SentStart &sent, const Result<StartReply> &result, Effects &effects);
+    /** The worker has begun the run, or another incarnation of it than the start was meant for. */
+    void onStarted(const SentStart &sent, LiveRun &run, bool restarted) const;
     /**
      * Marks the run for stopping, and sends a stop unless one is pending, the assignment is still
      * being stored, or the run is ending.
--- a/libs/dispatch/src/upstream_scheduler_release.cpp
+++ b/libs/dispatch/src/upstream_scheduler_release.cpp
@@ -22,14 +22,12 @@
 {
     RunEvidence evidence{.startMayArriveUntil = run.startMayArriveUntil,
                          .absent = run.absent,
-                         .lastContact = {},
+                         .absentAsOf = run.absentAsOf,
                          .replaced = false,
                          .leasesExpireBy = {},
-                         .lateLease = run.ticketExpiresBy ? std::chrono::milliseconds(0)
-                                                          : this->settings.longestWorkerLease};
+                         .lateLease = this->settings.longestWorkerLease + leaseExpiryMargin};
     const auto worker = this->workers.find(run.worker);
     if (worker != this->workers.end()) {
-        evidence.lastContact = worker->second.lastContact;
         evidence.replaced = worker->second.replaced;
         evidence.leasesExpireBy = lastLeaseExpiry(worker->second) + leaseExpiryMargin;
         // An earlier leader's start that was both unanswered and delayed is not assumed for every
@@ -62,14 +60,15 @@
         granted = worker->second.leaseGranted;
         present = worker->second.record.incarnation;
     }
-    // A run of an earlier incarnation than the present one tells of a restart.
-    spdlog::info("event=run-lost task={} run={} worker={} reason={} phase={} silence={}ms "
-                 "granted={} incarnation={} present={}",
-                 toString(key), run.number.value, run.worker.value, reason,
-                 static_cast<int>(run.phase),
-                 std::chrono::duration_cast<std::chrono::milliseconds>(silence).count(),
-                 granted.time_since_epoch().count(), run.incarnation.time_since_epoch().count(),
-                 present.time_since_epoch().count());
+    // A run of an earlier incarnation than the present one tells of a restart, and a start without
+    // an answer of one that may have arrived in an incarnation that is not known.
+    spdlog::info(
+        "event=run-lost task={} run={} worker={} reason={} phase={} silence={}ms "
+        "granted={} incarnation={} present={} reported={} starts={} unanswered={}",
+        toString(key), run.number.value, run.worker.value, reason, static_cast<int>(run.phase),
+        std::chrono::duration_cast<std::chrono::milliseconds>(silence).count(),
+        granted.time_since_epoch().count(), run.incarnation.time_since_epoch().count(),
+        present.time_since_epoch().count(), run.reported, run.startsSent, run.unansweredStarts);
     this->heldRuns.erase(key);
     this->stopGang(key, run.number, effects);
     this->releaseRun(key, effects);
@@ -141,12 +140,13 @@
         // sent.
         const bool stopped = run.stopAnsweredAt && *run.stopAnsweredAt < sentAt;
         const bool absent = (run.phase == RunPhase::Running && run.since < sentAt)
-            || run.phase == RunPhase::Recovered
+            || (run.phase == RunPhase::Recovered && run.since < sentAt)
             || (run.phase == RunPhase::OutcomeUnknown && stopped);
         if (absent && run.phase == RunPhase::Recovered
             && this->maySendRecoveredStart(key, worker)) {
             this->sendStart(key, *task, effects);
         } else if (absent) {
+            task->run->absentAsOf = sentAt;
             this->releaseAbsentRun(key, "not-listed", effects);
         }
     }
--- a/libs/dispatch/src/upstream_scheduler_workers.cpp
+++ b/libs/dispatch/src/upstream_scheduler_workers.cpp
@@ -163,9 +163,9 @@
         if (run.phase == RunPhase::Proposed) {
             continue;
         }
-        // The answer to a start does not tell which incarnation of the worker gave it.
-        const bool endedBefore
-            = run.reported && (run.unansweredStarts == 0 || now > run.startMayArriveUntil);
+        // The answer to a start does not tell which incarnation of the worker gave it, and a start
+        // without an answer may have reached this one by now.
+        const bool endedBefore = run.reported && run.unansweredStarts == 0;
         run.reported = false;
         run.absent = false;
         if (endedBefore) {
@@ -181,6 +181,55 @@
     }
 }
 
+bool UpstreamScheduler::recordStartClock(UpstreamWorker &worker, const SentStart &sent,
+                                         const StartReply &reply, Effects &effects)
+{
+    const bool started = reply.result == StartResult::Started;
+    if (!worker.fenceConfirmed || sent.incarnation != worker.record.incarnation) {
+        if (started) {
+            // The incarnation that took the start may have a lease end on an earlier clock.
+            this->expectEarlierOrders(worker);
+        }
+        return started;
+    }
+    const bool restarted = reply.clock && worker.clock
+        ? isFromAnotherClock(*worker.clock, *reply.clock, sent.sentAt)
+        : started;
+    if (!restarted) {
+        if (reply.clock) {
+            const ClockReading reading{.clock = *reply.clock,
+                                       .at = this->context.clock.steadyNow()};
+            worker.leaseExpiresBy
+                = std::max(worker.leaseExpiresBy, latestLeaseExpiry(reading, worker.leaseGranted));
+        }
+        return false;
+    }
+    spdlog::info(
+        "event=worker-restart-suspected worker={} incarnation={} task={} run={} clock={} "
+        "expected={}",
+        sent.worker.value, sent.incarnation.time_since_epoch().count(), toString(sent.task),
+        sent.run.value, reply.clock.value_or(WorkerTime{}).time_since_epoch().count(),
+        worker.clock ? earliestWorkerTime(*worker.clock, sent.sentAt).time_since_epoch().count()
+                     : 0);
+    this->expectRestart(worker, effects);
+    return true;
+}
+
+void UpstreamScheduler::expectRestart(UpstreamWorker &worker, Effects &effects)
+{
+    this->expectEarlierOrders(worker);
+    worker.lastContact = this->context.clock.steadyNow();
+    worker.clock.reset();
+    worker.fenceConfirmed = false;
+    worker.lastRenewalAnswered = false;
+    // The answers to renewals with the earlier token are ignored: the earlier incarnation may have
+    // given them.
+    ++worker.restarts;
+    worker.renewalInFlight = false;
+    worker.renewalScheduled = false;
+    this->renewLeaseIfNeeded(worker, effects);
+}
+
 void UpstreamScheduler::heartbeatReceived(const InstanceId &id, WorkerIncarnation incarnation,
                                           std::optional<WorkerTime> clock)
 {
@@ -193,7 +242,8 @@
         const SteadyTime now = this->context.clock.steadyNow();
         const bool contactWasLost = now - worker.lastContact > this->settings.heartbeatTimeout;
         worker.lastContact = now;
-        if (clock && !worker.clock) {
+        // While a restart is expected, a late heartbeat may still show the earlier clock.
+        if (clock && !worker.clock && worker.leaseGranted == WorkerTime{}) {
             this->recordClock(worker, *clock, now);
         }
         if (contactWasLost) {
@@ -239,6 +289,26 @@
     }
 }
 
+std::chrono::milliseconds UpstreamScheduler::renewalWaitOf(const UpstreamWorker &worker)
+{
+    if (!worker.fenceConfirmed || !worker.clock || worker.runs.empty()) {
+        return std::chrono::milliseconds(0);
+    }
+    std::chrono::milliseconds wait = this->settings.renewalWait;
+    if (this->heldRuns.empty()) {
+        return wait;
+    }
+    const SteadyTime now = this->context.clock.steadyNow();
+    for (const auto &[key, number] : worker.runs) {
+        const LiveTask *task = this->findTask(key);
+        if (this->heldRuns.contains(key) && task != nullptr && task->run) {
+            const Duration left = std::max(task->run->startMayArriveUntil - now, Duration::zero());
+            wait = std::min(wait, std::chrono::ceil<std::chrono::milliseconds>(left));
+        }
+    }
+    return wait;
+}
+
 void UpstreamScheduler::renewLeaseIfNeeded(UpstreamWorker &worker, Effects &effects)
 {
     const SteadyTime now = this->context.clock.steadyNow();
@@ -256,17 +326,14 @@
     LeaseRenewalOrder order{.leaseEnd = WorkerTime{},
                             .fence = fencingToken(this->term, worker.restarts),
                             .acknowledgedEnds = acknowledgementToSend(worker),
-                            .wait = worker.fenceConfirmed && worker.clock && !worker.runs.empty()
-                                ? this->settings.renewalWait
-                                : std::chrono::milliseconds(0)};
-    if (worker.clock) {
-        // A lease that an unresponsive worker may have received delays running its tasks elsewhere,
-        // so the lease is extended only while the worker answers, and not once it leaves.
-        const bool extends
-            = !worker.left && (!worker.lastRenewalFailed || worker.leaseGranted == WorkerTime{});
-        order.leaseEnd = extends
-            ? earliestWorkerTime(*worker.clock, now) + this->settings.workerLease
-            : worker.leaseGranted;
+                            .wait = this->renewalWaitOf(worker)};
+    // A lease that an unresponsive worker may have received delays running its tasks elsewhere, so
+    // the lease is extended only while the worker answers, and not once it leaves. An earlier lease
+    // end is not repeated: an incarnation with another clock would take it for the longest lease.
+    const bool extends
+        = !worker.left && (!worker.lastRenewalFailed || worker.leaseGranted == WorkerTime{});
+    if (worker.clock && extends) {
+        order.leaseEnd = earliestWorkerTime(*worker.clock, now) + this->settings.workerLease;
         worker.leaseGranted = std::max(worker.leaseGranted, order.leaseEnd);
         worker.leaseExpiresBy = std::max(worker.leaseExpiresBy,
                                          latestLeaseExpiry(*worker.clock, worker.leaseGranted));
@@ -274,6 +341,7 @@
     worker.lastRenewalAnswered = false;
     const SentRenewal sent{.worker = ref.id,
                            .incarnation = ref.incarnation,
+                           .fence = order.fence,
                            .sentAt = now,
                            .acknowledgedEnds = order.acknowledgedEnds};
     effects.push_back([self = this->shared_from_this(), ref, order, sent]() {
@@ -301,7 +369,8 @@
 {
     const InstanceId id = sent.worker;
     const auto found = this->workers.find(id);
-    if (found == this->workers.end() || found->second.record.incarnation != sent.incarnation) {
+    if (found == this->workers.end() || found->second.record.incarnation != sent.incarnation
+        || fencingToken(this->term, found->second.restarts) != sent.fence) {
         return;
     }
     UpstreamWorker &worker = found->second;
--- a/libs/dispatch/test/delayed_start_test.cpp
+++ b/libs/dispatch/test/delayed_start_test.cpp
@@ -37,14 +37,8 @@
     /** Restarts the first worker under its id; nobody knows of it yet. */
     void restartFirst() const
     {
-        this->first->running.clear();
-        this->first->ended.clear();
-        this->first->refusedRuns.clear();
-        this->first->lastEnd = 0;
-        this->first->acknowledged = 0;
-        this->first->fence = FencingToken(0);
+        this->workers.restartUnseen(*this->first);
         this->first->startsUnanswered = false;
-        this->first->record.incarnation += 5s;
     }
 
     bool runsElsewhere() const
@@ -167,6 +161,60 @@
     BOOST_TEST(this->runsElsewhere());
 }
 
+// Guards against a second run beside one that an incarnation took of which nobody had heard, while
+// the ticket of the start was valid: the lease end, a time on another clock, gave it the longest
+// lease.
+BOOST_FIXTURE_TEST_CASE(WaitsForTheLongestLeaseOfATicketedStartWithoutAnAnswer,
+                        TicketedStartFixture)
+{
+    this->first->unresponsive = true;
+    this->run(500ms);
+    this->restartFirst();
+    this->first->running[this->key] = RunNumber(1);
+    this->run(5900ms);
+    BOOST_TEST(!this->runsElsewhere());
+    this->first->running.clear();
+    this->run(3000ms);
+    BOOST_TEST(this->runsElsewhere());
+    BOOST_TEST(this->workers.violations.empty());
+}
+
+// Guards against a run that is taken for ended with the incarnation that had reported it: an
+// earlier copy of its start had reached the next one while the ticket was valid.
+BOOST_FIXTURE_TEST_CASE(AsksTheNextIncarnationForARunIfOneOfItsStartsHadNoAnswer,
+                        TicketedStartFixture)
+{
+    this->first->startsUnanswered = false;
+    this->run(900ms);
+    BOOST_REQUIRE(this->first->running.contains(this->key));
+    BOOST_REQUIRE(!this->workers.delayedStarts.empty());
+    this->restartFirst();
+    this->workers.deliverDelayedStarts();
+    this->first->renewalsUnanswered = true;
+    this->run(800ms);
+    this->first->renewalsUnanswered = false;
+    this->announce(this->first->record.id, [](WorkerRecord & /*record*/) {});
+    this->run(3000ms);
+    BOOST_TEST(this->workers.runningTasks() == 1U);
+    BOOST_TEST(this->first->running.contains(this->key));
+    BOOST_TEST(this->workers.violations.empty());
+}
+
+// Guards against a lease that renewals without an answer prolong for an incarnation that nobody
+// has heard of: their end, a time on another clock, gives it the longest lease each time.
+BOOST_FIXTURE_TEST_CASE(GrantsNoLeaseWhileRenewalsGetNoAnswer, DelayedStartFixture)
+{
+    this->first->startsUnanswered = false;
+    this->run(1000ms);
+    BOOST_REQUIRE(this->first->leaseOffered > WorkerTime{});
+    this->first->renewalsUnanswered = true;
+    this->run(2500ms);
+    const std::size_t renewals = this->first->renewals;
+    this->run(2000ms);
+    BOOST_TEST(this->first->renewals > renewals);
+    BOOST_TEST((this->first->leaseOffered == WorkerTime{}));
+}
+
 // Guards against equal tokens for two incarnations of a worker that left in between: the second one
 // carried out the start that was sent to the first.
 BOOST_FIXTURE_TEST_CASE(RaisesTheTokenOfAWorkerThatReturnsAfterItHasLeft, DelayedStartFixture)
@@ -234,4 +282,80 @@
     BOOST_TEST(!this->first->running.contains(this->key));
 }
 
+namespace {
+
+/**
+ * The run is held, as a report did not list it, and then its last start was carried out by an
+ * incarnation that nobody has heard of.
+ */
+struct HeldRunFixture : DelayedStartFixture
+{
+    explicit HeldRunFixture(std::chrono::milliseconds renewalAnswerDelay = 0ms)
+    {
+        this->run(20'900ms);
+        this->first->renewalAnswerDelay = renewalAnswerDelay;
+        this->run(100ms);
+        BOOST_REQUIRE(this->workers.runningTasks() == 0U);
+        BOOST_REQUIRE(!this->workers.delayedStarts.empty());
+        this->earlier = this->first->record;
+        this->restartFirst();
+        this->first->clockOffset = -30min;
+        this->first->renewalsUnanswered = true;
+        this->withoutHeartbeats.insert(this->first->record.id);
+        this->workers.deliverDelayedStarts();
+        BOOST_REQUIRE(this->first->running.contains(this->key));
+    }
+
+    WorkerRecord earlier;
+};
+
+/** The same with a renewal on its way, so that the next one is not due yet. */
+struct HeldRunWithRenewalFixture : HeldRunFixture
+{
+    HeldRunWithRenewalFixture()
+        : HeldRunFixture(5s)
+    {
+    }
+};
+
+} // namespace
+
+// Guards against a late heartbeat of the earlier incarnation that is taken for a sign that no
+// later one has begun the run.
+BOOST_FIXTURE_TEST_CASE(TakesNoProofFromALateHeartbeatOfTheEarlierIncarnation, HeldRunFixture)
+{
+    this->first->unresponsive = true;
+    for (int number = 0; number < 59; ++number) {
+        this->dispatcher.heartbeatReceived(this->earlier, std::nullopt);
+        this->run(100ms);
+    }
+    BOOST_TEST(!this->runsElsewhere());
+    BOOST_TEST(this->workers.violations.empty());
+}
+
+// Guards against the same by the answer to another start, which the later incarnation gave.
+BOOST_FIXTURE_TEST_CASE(TakesNoProofFromTheAnswerToAnotherStart, HeldRunWithRenewalFixture)
+{
+    std::vector<InstanceId> others;
+    for (const auto &[id, worker] : this->workers.workers) {
+        if (&worker != this->first) {
+            others.push_back(id);
+        }
+    }
+    for (const InstanceId &id : others) {
+        this->announce(id, [](WorkerRecord &record) { record.draining = true; });
+    }
+    this->run(1000ms);
+    this->submit("b", {DispatchFixture::step(1, 100)});
+    this->run(20ms);
+    BOOST_REQUIRE(this->first->running.size() == 2U);
+    this->first->unresponsive = true;
+    for (const InstanceId &id : others) {
+        this->announce(id, [](WorkerRecord &record) { record.draining = false; });
+    }
+    this->run(2000ms);
+    BOOST_TEST(!this->runsElsewhere());
+    BOOST_TEST(this->workers.violations.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/libs/dispatch/test/dispatch_fixture.h
+++ b/libs/dispatch/test/dispatch_fixture.h
@@ -64,6 +64,9 @@
     std::map<TaskKey, RunNumber> refusedRuns;
     FencingToken fence;
     WorkerTime leaseEnd;
+    /** What the worker's clock shows beyond the clock of the others; each incarnation has its own.
+     */
+    std::chrono::milliseconds clockOffset{0};
     std::uint64_t lastEnd = 0;
     std::uint64_t acknowledged = 0;
     /**
@@ -79,6 +82,11 @@
     StartResult startResult = StartResult::Started;
     std::size_t starts = 0;
     std::size_t renewals = 0;
+    /** How much longer than others the answers to starts and to renewals are on their way. */
+    std::chrono::milliseconds startAnswerDelay{0};
+    std::chrono::milliseconds renewalAnswerDelay{0};
+    /** The lease end in the last renewal that was sent to the worker. */
+    WorkerTime leaseOffered;
     std::vector<std::string> checkpoints;
 };
 
@@ -104,8 +112,9 @@
     /** Carries out the starts that got no answer. */
     void deliverDelayedStarts();
     std::size_t runningTasks() const;
-    /** The time on the clock of all workers. */
-    WorkerTime clockNow() const;
+    WorkerTime clockOf(const FakeWorker &worker) const;
+    /** Begins the worker's next incarnation, which knows nothing of before; nobody hears of it. */
+    void restartUnseen(FakeWorker &worker) const;
 
     std::map<InstanceId, FakeWorker> workers;
     std::vector<std::string> violations;
--- a/libs/link/test/http_server_test.cpp
+++ b/libs/link/test/http_server_test.cpp
@@ -25,18 +25,20 @@
 /** A server that echoes method and body, and defers the responses to requests for /hold. */
 struct TestServer
 {
-    explicit TestServer(HttpServerLimits limits = {})
-        : server(this->executor, limits,
-                 [this](const HttpRequest &request, const HttpServer::Respond &respond) {
-                     if (request.target == "/hold") {
-                         this->held.update(
-                             [&](HeldRequests &now) { now.responders.push_back(respond); });
-                         return;
-                     }
-                     respond(HttpResponse{.status = 200,
-                                          .headers = {},
-                                          .body = request.method + ':' + request.body});
-                 })
+    explicit TestServer(HttpServerLimits limits = {},
+                        std::shared_ptr<RequestBudget> budget = nullptr)
+        : server(
+            this->executor, limits,
+            [this](const HttpRequest &request, const HttpServer::Respond &respond) {
+                if (request.target == "/hold") {
+                    this->held.update(
+                        [&](HeldRequests &now) { now.responders.push_back(respond); });
+                    return;
+                }
+                respond(HttpResponse{
+                    .status = 200, .headers = {}, .body = request.method + ':' + request.body});
+            },
+            std::move(budget))
     {
         const Result<Address> listening = this->server.listen(anyPort);
         BOOST_REQUIRE(ok(listening));
@@ -118,6 +120,147 @@
                    "413", "too-large");
 }
 
+// Guards against a read buffer without a maximum, which keeps trailers and chunk extensions until
+// they are complete, however long they are.
+BOOST_AUTO_TEST_CASE(RefusesOversizeTrailersAndChunkExtensions)
+{
+    TestServer server;
+    const std::string start = "PUT / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    std::string trailers;
+    while (trailers.size() < 32UL * 1024) {
+        trailers += "Name: value\r\n";
+    }
+    checkRejection(sendAndReadAll(server.address, start + "0\r\n" + trailers), "431", "too-large");
+    checkRejection(sendAndReadAll(server.address, start + "5;" + std::string(32UL * 1024, 'x')),
+                   "431", "too-large");
+}
+
+// Guards against limits that refuse what is inside them: trailers, extensions and a chunked body of
+// exactly the largest size.
+BOOST_AUTO_TEST_CASE(TakesTrailersExtensionsAndABodyUpToTheLimit)
+{
+    HttpServerLimits limits;
+    limits.maxBody = Bytes(100'000);
+    TestServer server(limits);
+    const std::string body(100'000, 'x');
+    const std::string response
+        = sendAndReadAll(server.address,
+                         "PUT / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nConnection: "
+                         "close\r\n\r\n186a0;name=value\r\n"
+                             + body + "\r\n0\r\nName: value\r\n\r\n");
+    BOOST_TEST(response.ends_with("PUT:" + body));
+    BOOST_TEST(sendAndReadAll(server.address,
+                              "PUT / HTTP/1.1\r\nContent-Length: 100000\r\n"
+                              "Connection: close\r\n\r\n"
+                                  + body)
+                   .ends_with("PUT:" + body));
+}
+
+// Guards against bodies that stop short of their end and together take all memory: what does not
+// fit is refused before its handler is called, small requests are served, and memory is given back.
+BOOST_AUTO_TEST_CASE(RefusesWhatTheBudgetHasNoRoomForAndServesSmallRequests)
+{
+    const auto budget = std::make_shared<RequestBudget>(RequestMemoryLimits{
+        .all = Bytes(300'000), .large = Bytes(200'000), .smallRequest = Bytes(16'384)});
+    TestServer server({}, budget);
+    RawSocket slow;
+    BOOST_REQUIRE(slow.connect(server.address));
+    BOOST_REQUIRE(slow.write("PUT /hold HTTP/1.1\r\nContent-Length: 150000\r\n\r\n"
+                             + std::string(100'000, 'x')));
+    while (budget->use().large.value < 150'000) {
+        std::this_thread::sleep_for(milliseconds(1));
+    }
+    const std::string body(100'000, 'x');
+    checkRejection(sendAndReadAll(server.address,
+                                  "PUT /hold HTTP/1.1\r\nContent-Length: 100000\r\n\r\n" + body),
+                   "503", "overloaded");
+    checkRejection(sendAndReadAll(server.address,
+                                  "PUT /hold HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                  "186a0\r\n"
+                                      + body),
+                   "503", "overloaded");
+    BOOST_TEST(server.held.get().responders.empty());
+    const std::string small = "PUT / HTTP/1.1\r\nContent-Length: 5\r\n\r\nsmall";
+    BOOST_TEST(sendAndReadAll(server.address, small + "GET / HTTP/1.1\r\nConnection: close\r\n\r\n")
+                   .ends_with("GET:"));
+    BOOST_REQUIRE(slow.write(std::string(50'000, 'x')));
+    BOOST_REQUIRE(server.awaitHeldRequest());
+    // The handler has the body now, so it still counts.
+    BOOST_TEST(budget->use().large.value >= 150'000);
+    server.held.get().responders.front()(HttpResponse{});
+    BOOST_TEST(!slow.readUntil("\r\n\r\n", testTimeout).empty());
+    slow.close();
+    const SteadyTime began = std::chrono::steady_clock::now();
+    while (budget->use() != RequestMemoryUse{}
+           && std::chrono::steady_clock::now() - began < testTimeout) {
+        std::this_thread::sleep_for(milliseconds(1));
+    }
+    BOOST_TEST((budget->use() == RequestMemoryUse{}));
+}
+
+// Guards against responses that nobody reads and that together take all memory.
+BOOST_AUTO_TEST_CASE(SendsNoResponseThatTheBudgetHasNoRoomFor)
+{
+    const auto budget = std::make_shared<RequestBudget>(RequestMemoryLimits{
+        .all = Bytes(300'000), .large = Bytes(200'000), .smallRequest = Bytes(16'384)});
+    TestServer server({}, budget);
+    RawSocket caller;
+    BOOST_REQUIRE(caller.connect(server.address));
+    BOOST_REQUIRE(caller.write("GET /hold HTTP/1.1\r\n\r\n"));
+    BOOST_REQUIRE(server.awaitHeldRequest());
+    server.held.get().responders.front()(
+        HttpResponse{.status = 200, .headers = {}, .body = std::string(250'000, 'x')});
+    BOOST_TEST(caller.closedWithin(testTimeout));
+    // The handler was called, so nothing is promised; 503 would mean that the request never runs.
+    BOOST_TEST(caller.rest().starts_with("HTTP/1.1 504"));
+    BOOST_TEST((caller.rest().find(R"("outcome":"unknown")") != std::string::npos));
+}
+
+// Guards against a full budget that turns the answer to a request that has run into a refusal.
+BOOST_AUTO_TEST_CASE(SendsAShortResponseWhenTheBudgetIsFull)
+{
+    const auto budget = std::make_shared<RequestBudget>(RequestMemoryLimits{
+        .all = Bytes(300'000), .large = Bytes(200'000), .smallRequest = Bytes(16'384)});
+    TestServer server({}, budget);
+    RawSocket caller;
+    BOOST_REQUIRE(caller.connect(server.address));
+    BOOST_REQUIRE(caller.write("DELETE /hold HTTP/1.1\r\n\r\n"));
+    BOOST_REQUIRE(server.awaitHeldRequest());
+    std::vector<std::unique_ptr<RequestCharge>> others;
+    while (budget->use().all.value < 300'000) {
+        others.push_back(std::make_unique<RequestCharge>(budget));
+        BOOST_REQUIRE(others.back()->set(
+            Bytes(std::min<std::int64_t>(16'384, 300'000 - budget->use().all.value))));
+    }
+    const std::string answer(1000, 'x');
+    server.held.get().responders.front()(
+        HttpResponse{.status = 200, .headers = {}, .body = answer});
+    BOOST_TEST(caller.readUntil(answer, testTimeout).starts_with("HTTP/1.1 200"));
+}
+
+// Guards against a sender that extends its time with each chunk or trailer.
+BOOST_AUTO_TEST_CASE(ClosesASenderOfTinyChunksAtTheReadTimeout)
+{
+    HttpServerLimits limits;
+    limits.readTimeout = milliseconds(300);
+    TestServer server(limits);
+    for (const std::string start : {"", "0\r\n"}) {
+        RawSocket slow;
+        BOOST_REQUIRE(slow.connect(server.address));
+        BOOST_REQUIRE(
+            slow.write("PUT /hold HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + start));
+        const std::string piece = start.empty() ? "1\r\nx\r\n" : "a: b\r\n";
+        const SteadyTime began = std::chrono::steady_clock::now();
+        bool cut = false;
+        while (!cut && std::chrono::steady_clock::now() - began < testTimeout) {
+            slow.write(piece);
+            cut = slow.closedWithin(milliseconds(20));
+        }
+        BOOST_TEST(cut);
+    }
+    BOOST_TEST(server.held.get().responders.empty());
+}
+
 // Guards against a truncated request that is handled as a complete one.
 BOOST_AUTO_TEST_CASE(HandlesNoTruncatedRequest)
 {
