--- a/libs/dispatch/include/dispatch/upstream_scheduler.h
+++ b/libs/dispatch/include/dispatch/upstream_scheduler.h
@@ -161,13 +161,32 @@
      * has left, and an entry is added that holds the run until the worker's lease has ended.
      */
     UpstreamWorker &recoveredWorker(const StoredTask &run);
+    /** Returns the time until which a start that an earlier leader sent may be carried out. */
+    SteadyTime recoveredStartArrival(const LiveWorkflow &workflow) const;
+    /**
+     * Releases all runs of a worker at whose address another one answers. That one refuses all
+     * orders to this worker, so nothing of it executes or can begin any more.
+     */
+    void releaseReplacedWorker(UpstreamWorker &worker, Effects &effects);
+    /** Updates the run from the worker's report. Returns false if the scheduler has no such run. */
+    bool recordReportedRun(UpstreamWorker &worker, const RunningEntry &entry);
+    /**
+     * Reserves the capacity of reported runs that the scheduler has no record of, and stops them.
+     */
+    void stopOrphanedRuns(UpstreamWorker &worker, const std::vector<RunningEntry> &entries,
+                          Effects &effects);
+    void clearOrphanedRuns(UpstreamWorker &worker);
+    /** Records that steps without room may fit on the worker now. */
+    void recordRoomGained(UpstreamWorker &worker);
+    void processEndedRuns(UpstreamWorker &worker, const std::vector<EndedEntry> &ends,
+                          Effects &effects);
+
+    // upstream_scheduler_restarts.cpp: restarts of workers.
     /**
      * Notes that the worker's incarnation may have carried out, or may still carry out, an order to
      * an earlier one.
      */
     void expectEarlierOrders(UpstreamWorker &worker) const;
-    /** Returns the time until which a start that an earlier leader sent may be carried out. */
-    SteadyTime recoveredStartArrival(const LiveWorkflow &workflow) const;
     /** Resets the worker for a new incarnation and releases runs that ended with the old one. */
     void beginIncarnation(UpstreamWorker &worker, const WorkerRecord &record, Effects &effects);
     /**
@@ -181,28 +200,12 @@
      * answered. The worker gets no tasks until it has answered.
      */
     void expectRestart(UpstreamWorker &worker, Effects &effects);
-    /**
-     * Releases all runs of a worker at whose address another one answers. That one refuses all
-     * orders to this worker, so nothing of it executes or can begin any more.
-     */
-    void releaseReplacedWorker(UpstreamWorker &worker, Effects &effects);
     /**
      * Notes that the worker refuses the orders that its earlier incarnations got, and those of
      * earlier leaders.
      */
     void confirmFence(UpstreamWorker &worker);
-    /** Updates the run from the worker's report. Returns false if the scheduler has no such run. */
-    bool recordReportedRun(UpstreamWorker &worker, const RunningEntry &entry);
-    /**
-     * Reserves the capacity of reported runs that the scheduler has no record of, and stops them.
-     */
-    void stopOrphanedRuns(UpstreamWorker &worker, const std::vector<RunningEntry> &entries,
-                          Effects &effects);
-    void clearOrphanedRuns(UpstreamWorker &worker);
-    /** Records that steps without room may fit on the worker now. */
-    void recordRoomGained(UpstreamWorker &worker);
-    void processEndedRuns(UpstreamWorker &worker, const std::vector<EndedEntry> &ends,
-                          Effects &effects);
+
     // upstream_scheduler_release.cpp: proof that runs are over.
     /** Returns what is known of the run, for isOver(). */
     RunEvidence evidenceOf(const LiveRun &run) const;
